--- /dev/null
+++ b/src/main/java/io/tansystack/settings/SettingsException.java
@@ -0,0 +1,10 @@
+package io.tansystack.settings;
+
+/** A settings file that cannot be used; the text names the key and the reason. */
+public final class SettingsException extends Exception {
+  private static final long serialVersionUID = 1L;
+
+  public SettingsException(String message) {
+    super(message);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/tansystack/wire/Read.java
@@ -0,0 +1,100 @@
+package io.tansystack.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** Typed, checked access to the fields of a decoded map. Every refusal names the field. */
+public final class Read {
+  private Read() {}
+
+  private static JsonNode present(ObjectNode map, String field) throws BadInput {
+    JsonNode node = map.get(field);
+    if (node == null || node.isNull()) {
+      throw new BadInput(field + ": missing");
+    }
+    return node;
+  }
+
+  public static boolean has(ObjectNode map, String field) {
+    JsonNode node = map.get(field);
+    return node != null && !node.isNull();
+  }
+
+  public static String text(ObjectNode map, String field) throws BadInput {
+    JsonNode node = present(map, field);
+    if (!node.isTextual()) {
+      throw new BadInput(field + ": not text");
+    }
+    return node.textValue();
+  }
+
+  public static String textOrNull(ObjectNode map, String field) throws BadInput {
+    return has(map, field) ? text(map, field) : null;
+  }
+
+  public static boolean flag(ObjectNode map, String field) throws BadInput {
+    JsonNode node = present(map, field);
+    if (!node.isBoolean()) {
+      throw new BadInput(field + ": not a boolean");
+    }
+    return node.booleanValue();
+  }
+
+  public static boolean flagOr(ObjectNode map, String field, boolean fallback) throws BadInput {
+    return has(map, field) ? flag(map, field) : fallback;
+  }
+
+  /** A decimal amount: finite and not negative. Integers are accepted as amounts too. */
+  public static double amount(ObjectNode map, String field) throws BadInput {
+    JsonNode node = present(map, field);
+    if (!node.isNumber()) {
+      throw new BadInput(field + ": not a number");
+    }
+    double value = node.doubleValue();
+    if (!Double.isFinite(value) || value < 0) {
+      throw new BadInput(field + ": out of range");
+    }
+    return value;
+  }
+
+  public static double amountOr(ObjectNode map, String field, double fallback) throws BadInput {
+    return has(map, field) ? amount(map, field) : fallback;
+  }
+
+  /** An integer of the protocol (counts, versions, tokens, attempts). */
+  public static long integer(ObjectNode map, String field, long min, long max) throws BadInput {
+    JsonNode node = present(map, field);
+    if (!node.isIntegralNumber() || !node.canConvertToLong()) {
+      throw new BadInput(field + ": not an integer in range");
+    }
+    long value = node.longValue();
+    if (value < min || value > max) {
+      throw new BadInput(field + ": out of range");
+    }
+    return value;
+  }
+
+  public static long integer(ObjectNode map, String field) throws BadInput {
+    return integer(map, field, 0, Long.MAX_VALUE);
+  }
+
+  public static ArrayNode list(ObjectNode map, String field) throws BadInput {
+    JsonNode node = present(map, field);
+    if (node instanceof ArrayNode list) {
+      return list;
+    }
+    throw new BadInput(field + ": not a list");
+  }
+
+  public static ObjectNode map(JsonNode node, String what) throws BadInput {
+    if (node instanceof ObjectNode map) {
+      return map;
+    }
+    throw new BadInput(what + ": not a map");
+  }
+
+  public static ObjectNode map(ObjectNode map, String field) throws BadInput {
+    return map(present(map, field), field);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/tansystack/wire/Report.java
@@ -0,0 +1,64 @@
+package io.tansystack.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A worker's report: what the machine is and all tasks it holds. */
+public record Report(
+    String machine,
+    String address,
+    String type,
+    String zone,
+    boolean spot,
+    long session,
+    long seq,
+    long token,
+    Double noticeS,
+    List<TaskReport> tasks) {
+
+  private static final int MAX_NAME = 100;
+
+  public static Report read(ObjectNode map) throws BadInput {
+    List<TaskReport> tasks = new ArrayList<>();
+    if (Read.has(map, "Wagons")) {
+      for (JsonNode task : Read.list(map, "Wagons")) {
+        tasks.add(TaskReport.read(Read.map(task, "Wagons")));
+      }
+    }
+    String machine = Read.text(map, "Berth");
+    if (machine.isEmpty() || machine.length() > MAX_NAME || machine.indexOf(' ') >= 0) {
+      throw new BadInput("Berth: bad name");
+    }
+    return new Report(
+        machine,
+        Read.text(map, "Endpoint"),
+        Read.text(map, "Fleet"),
+        Read.text(map, "Yard"),
+        Read.flagOr(map, "Loaners", false),
+        Read.integer(map, "Shift"),
+        Read.integer(map, "Tick"),
+        Read.has(map, "Baton") ? Read.integer(map, "Baton") : 0,
+        Read.has(map, "RecallS") ? Read.amount(map, "RecallS") : null,
+        List.copyOf(tasks));
+  }
+
+  public ObjectNode write() {
+    ObjectNode map = Cbor.map();
+    map.put("Berth", machine).put("Endpoint", address).put("Fleet", type).put("Yard", zone);
+    map.put("Loaners", spot).put("Shift", session).put("Tick", seq).put("Baton", token);
+    if (noticeS != null) {
+      map.put("RecallS", noticeS.doubleValue());
+    }
+    ArrayNode list = map.putArray("Wagons");
+    tasks.forEach(task -> list.add(task.write()));
+    return map;
+  }
+
+  /** Whether this message was made after the other one by the same worker. */
+  public boolean newerThan(Report other) {
+    return session != other.session ? session > other.session : seq > other.seq;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/tansystack/wire/StoreWire.java
@@ -0,0 +1,100 @@
+package io.tansystack.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Messages of the state service's interface. */
+public final class StoreWire {
+  private StoreWire() {}
+
+  /** The new value of a key, or its removal ({@code value} null), at a revision. */
+  public record Change(String key, ObjectNode value, long version) {}
+
+  /** Changes and the revision up to which they are complete. */
+  public record Changes(List<Change> changes, long revision, boolean more) {}
+
+  /** A condition of a transaction: the key has this version; 0 means that it does not exist. */
+  public record Condition(String key, long version) {}
+
+  /** A write of a transaction; {@code value} null deletes, {@code lease} 0 attaches to none. */
+  public record Write(String key, ObjectNode value, long lease) {}
+
+  public static byte[] txn(List<Condition> conditions, List<Write> writes) {
+    ObjectNode map = Cbor.map();
+    ArrayNode when = map.putArray("When");
+    for (Condition condition : conditions) {
+      when.addObject().put("Path", condition.key()).put("Stamp", condition.version());
+    }
+    ArrayNode then = map.putArray("Then");
+    for (Write write : writes) {
+      ObjectNode node = then.addObject();
+      if (write.value() == null) {
+        node.put("Delete", write.key());
+      } else {
+        node.put("Write", write.key()).set("Value", write.value());
+        if (write.lease() != 0) {
+          node.put("Permit", write.lease());
+        }
+      }
+    }
+    return Cbor.encode(map);
+  }
+
+  public static long readRevision(ObjectNode map) throws BadInput {
+    return Read.integer(map, "Ledger");
+  }
+
+  public static String keyPath(String key) {
+    return "/store/" + key;
+  }
+
+  public static Change readKey(ObjectNode map) throws BadInput {
+    return new Change(
+        Read.text(map, "Path"), Read.map(map, "Value"), Read.integer(map, "Stamp"));
+  }
+
+  public static String listPath(String prefix, String after) {
+    return "/store?Starts=" + prefix + (after.isEmpty() ? "" : "&Since=" + after) + "&Limit=1000";
+  }
+
+  public static Changes readList(ObjectNode map) throws BadInput {
+    List<Change> changes = new ArrayList<>();
+    for (JsonNode node : Read.list(map, "Pairs")) {
+      changes.add(readKey(Read.map(node, "Pairs")));
+    }
+    return new Changes(changes, readRevision(map), Read.flagOr(map, "HasNext", false));
+  }
+
+  public static String watchPath(String prefix, long after, long holdMs) {
+    return "/watch?Starts=" + prefix + "&Since=" + after + "&HoldMs=" + holdMs;
+  }
+
+  public static Changes readWatch(ObjectNode map) throws BadInput {
+    List<Change> changes = new ArrayList<>();
+    for (JsonNode node : Read.list(map, "Log")) {
+      ObjectNode event = Read.map(node, "Log");
+      long version = Read.integer(event, "Stamp");
+      if (Read.has(event, "Write")) {
+        changes.add(new Change(Read.text(event, "Write"), Read.map(event, "Value"), version));
+      } else {
+        changes.add(new Change(Read.text(event, "Delete"), null, version));
+      }
+    }
+    return new Changes(changes, readRevision(map), false);
+  }
+
+  public static byte[] grant(long lifeMs) {
+    return Cbor.encode(Cbor.map().put("LifeMs", lifeMs));
+  }
+
+  public static long readGrant(ObjectNode map) throws BadInput {
+    return Read.integer(map, "Permit");
+  }
+
+  public static String renewPath(long lease) {
+    return "/grants/" + lease + "/renew";
+  }
+}
