--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -1,52 +1,199 @@
 package io.tansystack.cli;
 
-import io.tansystack.http.HttpServer;
-import io.tansystack.http.UndertowCaller;
-import io.tansystack.http.XnioLoop;
+import io.tansystack.cluster.OwnLease;
+import io.tansystack.cluster.PeerLink;
+import io.tansystack.cluster.SlotDuty;
+import io.tansystack.cluster.World;
+import io.tansystack.fleet.FleetDuty;
+import io.tansystack.fleet.TypeDuty;
+import io.tansystack.http.HttpCaller;
+import io.tansystack.http.HttpServer.Reply;
+import io.tansystack.http.Loop;
+import io.tansystack.jobs.JobDuty;
+import io.tansystack.jobs.UserApi;
+import io.tansystack.settings.OperatorSettings;
 import io.tansystack.settings.PlatformSettings;
-import io.tansystack.settings.SettingsException;
-import io.undertow.server.DefaultByteBufferPool;
-import java.io.IOException;
+import io.tansystack.store.StoreClient;
+import io.tansystack.store.Watcher;
+import io.tansystack.store.WriteBudget;
+import io.tansystack.wire.Answers;
+import io.tansystack.wire.Cbor;
+import io.tansystack.workers.View;
+import io.tansystack.workers.WorkerDesk;
 import java.time.Duration;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
 
-final class Controller {
+/** One controller: its duties, wired together on one loop. */
+public final class Controller {
   private static final Logger log = LoggerFactory.getLogger(Controller.class);
-  static void start(PlatformSettings s) throws SettingsException {
-    try {
-      XnioWorker worker =
-          Xnio.getInstance(Controller.class.getClassLoader())
-              .createWorker(
-                  OptionMap.builder()
-                      .set(Options.WORKER_IO_THREADS, 1)
-                      .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                      .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                      .set(Options.STACK_SIZE, 256L * 1024)
-                      .set(Options.TCP_NODELAY, true)
-                      .getMap());
-      DefaultByteBufferPool pool = new DefaultByteBufferPool(false, 8192, 64, 0);
-      XnioLoop loop = new XnioLoop(worker.getIoThread());
-      UndertowCaller c = new UndertowCaller(worker.getIoThread(), loop, pool, 8);
-      HttpServer server = new HttpServer(worker, pool, s.front(), (m, p, b, r) -> { log.info("{} {} {}", m, p, b.length); r.send(200, new byte[] {(byte) 0xa0}); }, s.peerBind(), (m, p, b, r) -> r.send(200, b), 1 << 20);
-      server.start();
-      loop.execute(() -> tick(loop, c, s));
-      log.info("started");
-    } catch (IOException e) {
-      throw new SettingsException(e.toString());
+
+  /** Other controllers may need less than their part of the write limit. */
+  private static final double OVERCOMMIT = 1.6;
+
+  private final Loop loop;
+  private final PlatformSettings settings;
+  private final World world;
+  private final StoreClient store;
+  private final Watcher watcher;
+  private final OwnLease lease;
+  private final PeerLink peers;
+  private final SlotDuty slots;
+  private final TypeDuty types;
+  private final WorkerDesk desk;
+  private final JobDuty jobs;
+  private final FleetDuty fleet;
+  private final UserApi users;
+  private final Map<String, View> views = new HashMap<>();
+  private final byte[] empty = Cbor.encode(Cbor.map());
+
+  public Controller(
+      Loop loop,
+      HttpCaller caller,
+      PlatformSettings settings,
+      OperatorSettings operator,
+      InstantSource clock,
+      Random random) {
+    this.loop = loop;
+    this.settings = settings;
+    String label = settings.label();
+    String boot = Long.toHexString(random.nextLong());
+    double writes = settings.store().writeRps();
+    int size = settings.size();
+    double share = size == 1 ? writes : Math.min(writes, writes / size * OVERCOMMIT);
+    this.store =
+        new StoreClient(
+            caller,
+            loop,
+            settings.state(),
+            new WriteBudget(share, Math.max(2, share), loop.now()),
+            random);
+    this.world = new World(this::worldChanged);
+    double watches = settings.store().rps() * 0.4 / size;
+    this.watcher =
+        new Watcher(store, loop, World.PREFIX, Duration.ofMillis((long) (1000 / watches)), world);
+    Duration life =
+        OwnLease.lifeFor(settings.workers().cancel(), settings.workers().lease());
+    this.lease = new OwnLease(store, loop, label, boot, settings.zone(), life, watcher);
+    this.peers =
+        new PeerLink(caller, loop, label, settings.peers(), lease::valid, this::viewFromPeer);
+    this.slots = new SlotDuty(loop, store, world, lease, label, boot, peers::looksDown);
+    this.types = new TypeDuty(loop, store, world, caller, settings);
+    this.desk =
+        new WorkerDesk(
+            loop,
+            store,
+            caller,
+            world,
+            lease,
+            label,
+            boot,
+            settings.zone(),
+            settings.workers().lease(),
+            peers::looksDown,
+            types::get,
+            views::get,
+            this::viewOfOwn);
+    this.jobs = new JobDuty(loop, store, world, lease, slots, settings, views::get, types::get);
+    this.fleet =
+        new FleetDuty(
+            loop, caller, store, world, lease, slots, types, settings, operator, desk, views::get,
+            jobs::lastPlan);
+    this.users = new UserApi(store, world, settings, clock, types::all);
+    log.info("controller {} boot {} in {}: acts for {} after it is cut off", label, boot, settings.zone(), life);
+  }
+
+  public void start() {
+    watcher.start();
+    lease.start();
+    types.start();
+    peers.start();
+    slots.start();
+    fleet.start();
+    tick();
+  }
+
+  private void tick() {
+    loop.after(Duration.ofMillis(500), this::tick);
+    desk.tick();
+    if (world.loaded()) {
+      if (!world.controllers().containsKey(settings.label())) {
+        lease.recordLost();
+      }
+      views.keySet().removeIf(name -> world.machine(name) == null && desk.silentFor(name) == null);
+      jobs.wake();
+    }
+  }
+
+  private void worldChanged() {
+    slots.turn();
+    desk.worldChanged();
+    jobs.wake();
+  }
+
+  private void viewOfOwn(View view) {
+    keep(view);
+    peers.publish(view);
+  }
+
+  private void viewFromPeer(View view) {
+    // What we own we know better ourselves.
+    if (desk.silentFor(view.report().machine()) == null) {
+      keep(view);
+    }
+  }
+
+  private void keep(View view) {
+    View old = views.get(view.report().machine());
+    if (old == null || view.newerThan(old)) {
+      views.put(view.report().machine(), view);
+      jobs.wake();
+    }
+  }
+
+  /** Serves the front address: users, workers and health checks. */
+  public void front(String method, String path, byte[] body, Reply reply) {
+    boolean get = method.equals("GET");
+    boolean post = method.equals("POST");
+    if (post && path.equals("/v1/report")) {
+      desk.report(body, reply);
+    } else if (get && path.equals("/up")) {
+      reply.send(ready() ? 200 : 503, empty);
+    } else if (post && path.equals("/v1/jobs")) {
+      users.submit(body, reply);
+    } else if (path.startsWith("/v1/jobs/")) {
+      String rest = path.substring("/v1/jobs/".length());
+      if (get) {
+        users.poll(rest, reply);
+      } else if (post && rest.endsWith("/abort")) {
+        users.abort(rest.substring(0, rest.length() - "/abort".length()), reply);
+      } else {
+        reply.send(405, Cbor.encode(Answers.error("no such method")));
+      }
+    } else {
+      reply.send(404, Cbor.encode(Answers.error("no such path")));
     }
   }
-  static void tick(XnioLoop loop, UndertowCaller c, PlatformSettings s) {
-    for (String p : new String[]{"/store/x", "/watch?Starts=ts/&Since=0&HoldMs=500"}) 
-    c.call(s.state(), "GET", p, null, Duration.ofSeconds(2), new io.tansystack.http.HttpCaller.Outcome() {
-      public void answer(int st, byte[] b) { 
-       try { log.info("state {} {}", st, io.tansystack.wire.Cbor.decodeMap(b)); } catch (Exception e) { log.error("x", e);} }
-      public void silence(boolean r) { log.info("silence {}", r); }
-    });
-    loop.after(Duration.ofMillis(1000), () -> tick(loop, c, s));
+
+  /** Serves the peer address. */
+  public void peer(String method, String path, byte[] body, Reply reply) {
+    peers.handle(method, path, body, reply);
+  }
+
+  /**
+   * Whether users should come here. With the state service silent for this controller alone they had
+   * better go to another; if nobody reaches it, moving them around helps nobody.
+   */
+  private boolean ready() {
+    if (!world.loaded() || !lease.registered()) {
+      return false;
+    }
+    boolean fresh =
+        loop.now().minus(store.lastSuccess()).compareTo(Duration.ofMillis(3500)) < 0;
+    return fresh || !peers.somePeerValid();
   }
 }
--- /dev/null
+++ b/src/main/java/io/tansystack/cli/ControllerProcess.java
@@ -0,0 +1,59 @@
+package io.tansystack.cli;
+
+import io.tansystack.cluster.PeerLink;
+import io.tansystack.http.HttpServer;
+import io.tansystack.http.UndertowCaller;
+import io.tansystack.http.XnioLoop;
+import io.tansystack.settings.OperatorSettings;
+import io.tansystack.settings.PlatformSettings;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.time.InstantSource;
+import java.util.Random;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** The controller as a process: one XNIO worker with one I/O thread carries all of it. */
+final class ControllerProcess {
+  private static final Logger log = LoggerFactory.getLogger(ControllerProcess.class);
+  private static final int BUFFER = 8192;
+
+  private ControllerProcess() {}
+
+  static void run(PlatformSettings settings, OperatorSettings operator) throws IOException {
+    XnioWorker worker =
+        Xnio.getInstance(ControllerProcess.class.getClassLoader())
+            .createWorker(
+                OptionMap.builder()
+                    .set(Options.WORKER_NAME, "tansystack")
+                    .set(Options.WORKER_IO_THREADS, 1)
+                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                    .set(Options.STACK_SIZE, 256L * 1024)
+                    .set(Options.TCP_NODELAY, true)
+                    .getMap());
+    DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER, 64, 0);
+    XnioLoop loop = new XnioLoop(worker.getIoThread());
+    UndertowCaller caller = new UndertowCaller(worker.getIoThread(), loop, buffers, 12);
+    Random random = new Random(new SecureRandom().nextLong() ^ System.nanoTime());
+    Controller controller =
+        new Controller(loop, caller, settings, operator, InstantSource.system(), random);
+    HttpServer server =
+        new HttpServer(
+            worker,
+            buffers,
+            settings.front(),
+            controller::front,
+            settings.peerBind(),
+            controller::peer,
+            PeerLink.MAX_BODY);
+    server.start();
+    loop.execute(controller::start);
+    log.info("listening on {} and {}", settings.front(), settings.peerBind());
+  }
+}
--- a/src/main/java/io/tansystack/cli/Main.java
+++ b/src/main/java/io/tansystack/cli/Main.java
@@ -1,7 +1,9 @@
 package io.tansystack.cli;
 
+import io.tansystack.settings.OperatorSettings;
 import io.tansystack.settings.PlatformSettings;
 import io.tansystack.settings.SettingsException;
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
@@ -15,6 +17,8 @@
     version = "tansystack 0.1.0",
     description = "Runs one controller of the tansystack cluster scheduler until it is killed.")
 public final class Main implements Callable<Integer> {
+  private static final int RUNNING = -1;
+  private static final int CANNOT_START = 1;
   private static final int BAD_SETTINGS = 2;
 
   @Option(
@@ -24,22 +28,42 @@
       description = "the settings file that the platform hands over (TOML)")
   private Path config;
 
+  @Option(
+      names = "--operator",
+      paramLabel = "FILE",
+      description = "the operators' own settings (TOML); every key has a default")
+  private Path operatorFile;
+
+  @Option(
+      names = "--check",
+      description = "check the settings and exit: 0 if they are usable, 2 with the key if not")
+  private boolean checkOnly;
+
   @Override
   public Integer call() {
     try {
       Logging.configure(System.getenv("LOG_LEVEL"));
       PlatformSettings platform = PlatformSettings.load(config);
-      Controller.start(platform);
-      return -1;
+      OperatorSettings operator =
+          operatorFile == null ? OperatorSettings.defaults() : OperatorSettings.load(operatorFile);
+      if (checkOnly) {
+        System.out.println("settings are usable");
+        return 0;
+      }
+      ControllerProcess.run(platform, operator);
+      return RUNNING;
     } catch (SettingsException e) {
       System.err.println("tansystack: " + e.getMessage());
       return BAD_SETTINGS;
+    } catch (IOException | RuntimeException e) {
+      System.err.println("tansystack: cannot start: " + e);
+      return CANNOT_START;
     }
   }
 
   public static void main(String[] args) {
     int code = new CommandLine(new Main()).execute(args);
-    if (code >= 0) {
+    if (code != RUNNING) {
       System.exit(code);
     }
   }
--- /dev/null
+++ b/src/main/java/io/tansystack/cluster/OwnLease.java
@@ -0,0 +1,155 @@
+package io.tansystack.cluster;
+
+import io.tansystack.http.Loop;
+import io.tansystack.store.StoreClient;
+import io.tansystack.store.StoreClient.Result;
+import io.tansystack.store.Watcher;
+import io.tansystack.wire.Cbor;
+import io.tansystack.wire.StoreWire.Write;
+import java.time.Duration;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * This controller's lease and record, and whether it may act. It may while its last renewal that
+ * succeeded was sent, and its copy of the records is complete up to, less than {@code life} ago. So a
+ * controller that is cut off from the state service stops answering workers before a cancelled task
+ * could outlive its time.
+ */
+public final class OwnLease {
+  private static final Logger log = LoggerFactory.getLogger(OwnLease.class);
+
+  /** Steady clocks drift by 0.05% against each other; twice that, and a stall between check and use. */
+  private static final double DRIFT = 0.001;
+
+  private static final Duration MARGIN = Duration.ofMillis(500);
+
+  private final StoreClient store;
+  private final Loop loop;
+  private final String label;
+  private final String boot;
+  private final String zone;
+  private final Duration life;
+  private final Watcher watcher;
+  private long lease;
+  private boolean registered;
+  private Duration renewedAt;
+
+  public OwnLease(
+      StoreClient store,
+      Loop loop,
+      String label,
+      String boot,
+      String zone,
+      Duration life,
+      Watcher watcher) {
+    this.store = store;
+    this.loop = loop;
+    this.label = label;
+    this.boot = boot;
+    this.zone = zone;
+    this.life = life;
+    this.watcher = watcher;
+  }
+
+  /** The longest time for which a controller cut off at this moment goes on acting. */
+  public static Duration lifeFor(Duration cancel, Duration workerLease) {
+    Duration room = cancel.minus(workerLease).multipliedBy(7).dividedBy(10);
+    Duration longest = Duration.ofSeconds(30);
+    Duration shortest = Duration.ofMillis(500);
+    return room.compareTo(longest) > 0 ? longest : room.compareTo(shortest) < 0 ? shortest : room;
+  }
+
+  public void start() {
+    turn();
+  }
+
+  private void turn() {
+    Duration pause = life.dividedBy(8);
+    if (pause.compareTo(Duration.ofSeconds(2)) > 0) {
+      pause = Duration.ofSeconds(2);
+    }
+    Duration next = pause;
+    if (lease == 0) {
+      Duration sentAt = loop.now();
+      // A lease must have at least 100 ms; the state service's own range is kept to by the settings.
+      store.grant(
+          life,
+          granted -> {
+            if (granted != null) {
+              lease = granted;
+              renewedAt = sentAt;
+              register();
+            }
+            loop.after(granted == null ? Duration.ofMillis(300) : next, this::turn);
+          });
+      return;
+    }
+    Duration sentAt = loop.now();
+    store.renew(
+        lease,
+        status -> {
+          if (status == 200) {
+            renewedAt = sentAt;
+            if (!registered) {
+              register();
+            }
+          } else if (status == 404) {
+            log.warn("own lease {} has ended, asking for a new one", lease);
+            lease = 0;
+            registered = false;
+          }
+          loop.after(status == 200 ? next : Duration.ofMillis(300), this::turn);
+        });
+  }
+
+  private void register() {
+    store.commitUrgent(
+        List.of(),
+        List.of(
+            new Write(
+                World.controllerKey(label),
+                Cbor.map().put("boot", boot).put("zone", zone),
+                lease)),
+        Duration.ofSeconds(2),
+        (result, revision) -> {
+          registered = result == Result.DONE;
+          if (registered) {
+            log.info("registered as {} boot {} under lease {}", label, boot, lease);
+          } else if (result == Result.NO_LEASE) {
+            lease = 0;
+          }
+        });
+  }
+
+  /** The record vanished though the lease is thought to live: write it again. */
+  public void recordLost() {
+    if (registered && lease != 0) {
+      registered = false;
+    }
+  }
+
+  public long lease() {
+    return lease;
+  }
+
+  public Duration life() {
+    return life;
+  }
+
+  public boolean registered() {
+    return registered;
+  }
+
+  /** Checked at the moment of every act. */
+  public boolean valid() {
+    if (!registered || renewedAt == null || watcher.syncedAt() == null) {
+      return false;
+    }
+    Duration now = loop.now();
+    Duration usable = Duration.ofNanos((long) (life.toNanos() * (1 - DRIFT))).minus(MARGIN);
+    return now.minus(renewedAt).compareTo(usable) < 0
+        && now.minus(watcher.syncedAt()).compareTo(usable) < 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/tansystack/cluster/PeerLink.java
@@ -0,0 +1,210 @@
+package io.tansystack.cluster;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.http.HttpCaller;
+import io.tansystack.http.HttpServer;
+import io.tansystack.http.Loop;
+import io.tansystack.settings.PlatformSettings.Peer;
+import io.tansystack.wire.BadInput;
+import io.tansystack.wire.Cbor;
+import io.tansystack.wire.Read;
+import io.tansystack.workers.View;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The link between controllers: MessagePack over HTTP, carrying machine views and whether the sender
+ * may act. All of it are hints; no rule rests on any message to arrive.
+ */
+public final class PeerLink {
+  private static final Logger log = LoggerFactory.getLogger(PeerLink.class);
+  private static final Duration BEAT = Duration.ofMillis(500);
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+  private static final int MAX_BATCH = 40;
+
+  /** A body may hold this much: a batch of views of full machines. */
+  public static final int MAX_BODY = 1 << 20;
+
+  private final ObjectMapper msgpack = new ObjectMapper(new MessagePackFactory());
+  private final HttpCaller caller;
+  private final Loop loop;
+  private final String label;
+  private final BooleanSupplier valid;
+  private final Consumer<View> received;
+  private final Map<String, Link> links = new LinkedHashMap<>();
+
+  private static final class Link {
+    final Peer peer;
+    final Map<String, View> pending = new LinkedHashMap<>();
+    boolean inFlight;
+    boolean scheduled;
+    boolean said = true;
+    Duration refusedSince;
+    Duration heardAt;
+    Duration sentAt = Duration.ZERO;
+
+    Link(Peer peer) {
+      this.peer = peer;
+    }
+  }
+
+  public PeerLink(
+      HttpCaller caller,
+      Loop loop,
+      String label,
+      List<Peer> peers,
+      BooleanSupplier valid,
+      Consumer<View> received) {
+    this.caller = caller;
+    this.loop = loop;
+    this.label = label;
+    this.valid = valid;
+    this.received = received;
+    peers.forEach(peer -> links.put(peer.label(), new Link(peer)));
+  }
+
+  public void start() {
+    loop.after(
+        BEAT,
+        () -> {
+          links.values().forEach(this::send);
+          start();
+        });
+  }
+
+  /** Passes a view on; views of the same machine that wait are replaced. */
+  public void publish(View view) {
+    for (Link link : links.values()) {
+      link.pending.put(view.report().machine(), view);
+      if (!link.scheduled) {
+        link.scheduled = true;
+        loop.after(
+            Duration.ofMillis(30),
+            () -> {
+              link.scheduled = false;
+              send(link);
+            });
+      }
+    }
+  }
+
+  private void send(Link link) {
+    if (link.inFlight) {
+      return;
+    }
+    ObjectNode message = Cbor.map().put("from", label).put("valid", valid.getAsBoolean());
+    ArrayNode views = message.putArray("views");
+    Map<String, View> batch = new HashMap<>();
+    var iterator = link.pending.entrySet().iterator();
+    while (iterator.hasNext() && views.size() < MAX_BATCH) {
+      View view = iterator.next().getValue();
+      views.add(view.write());
+      batch.put(view.report().machine(), view);
+      iterator.remove();
+    }
+    if (views.isEmpty() && loop.now().minus(link.sentAt).compareTo(BEAT.minusMillis(50)) < 0) {
+      return;
+    }
+    byte[] body;
+    try {
+      body = msgpack.writeValueAsBytes(message);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a tree always encodes", e);
+    }
+    link.inFlight = true;
+    link.sentAt = loop.now();
+    caller.call(
+        link.peer.address(),
+        "POST",
+        "/views",
+        body,
+        TIMEOUT,
+        new HttpCaller.Outcome() {
+          @Override
+          public void answer(int status, byte[] answer) {
+            link.inFlight = false;
+            link.refusedSince = null;
+            link.heardAt = loop.now();
+            if (!link.pending.isEmpty()) {
+              send(link);
+            }
+          }
+
+          @Override
+          public void silence(boolean refused) {
+            link.inFlight = false;
+            batch.forEach(link.pending::putIfAbsent);
+            if (!refused) {
+              link.refusedSince = null;
+            } else if (link.refusedSince == null) {
+              link.refusedSince = loop.now();
+            }
+          }
+        });
+  }
+
+  /** Serves the peer address. */
+  public void handle(String method, String path, byte[] body, HttpServer.Reply reply) {
+    try {
+      JsonNode node = msgpack.readTree(body);
+      ObjectNode message = Read.map(node, "body");
+      Link link = links.get(Read.text(message, "from"));
+      if (link != null) {
+        link.said = Read.flag(message, "valid");
+        link.heardAt = loop.now();
+        link.refusedSince = null;
+      }
+      for (JsonNode view : Read.list(message, "views")) {
+        received.accept(View.read(Read.map(view, "views")));
+      }
+      reply.send(200, new byte[0]);
+    } catch (IOException | BadInput | RuntimeException e) {
+      log.warn("peer link: unreadable message: {}", e.getMessage());
+      reply.send(400, new byte[0]);
+    }
+  }
+
+  /**
+   * Whether the peer looks as if its process had ended (its address has refused connections for a
+   * while) or says itself that it may not act. A hint: claims made on it are safe if it is wrong.
+   */
+  public boolean looksDown(String peer) {
+    Link link = links.get(peer);
+    if (link == null) {
+      return false;
+    }
+    Duration now = loop.now();
+    if (link.refusedSince != null
+        && now.minus(link.refusedSince).compareTo(Duration.ofMillis(900)) > 0) {
+      return true;
+    }
+    return !link.said && heardWithin(link, Duration.ofSeconds(2));
+  }
+
+  private boolean heardWithin(Link link, Duration time) {
+    return link.heardAt != null && loop.now().minus(link.heardAt).compareTo(time) < 0;
+  }
+
+  /** Whether some peer that was heard of lately says that it may act. */
+  public boolean somePeerValid() {
+    for (Link link : links.values()) {
+      if (link.said && heardWithin(link, Duration.ofSeconds(2))) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/tansystack/cluster/World.java
@@ -0,0 +1,312 @@
+package io.tansystack.cluster;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.jobs.JobRecord;
+import io.tansystack.jobs.Placement;
+import io.tansystack.store.Watcher;
+import io.tansystack.wire.BadInput;
+import io.tansystack.wire.Cbor;
+import io.tansystack.wire.Read;
+import io.tansystack.wire.StoreWire.Change;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The copy of all records in the state service, as of one revision. Every controller has the whole of
+ * it: whoever owns a machine reads its launches here, whoever plans sees every placement of all.
+ */
+public final class World implements Watcher.Listener {
+  private static final Logger log = LoggerFactory.getLogger(World.class);
+
+  /** Everything of this service stands under one prefix; the state service may have other users. */
+  public static final String PREFIX = "ts/";
+
+  /** Slots are claimed one by one; twelve divide evenly among two, three, four or six controllers. */
+  public static final int SLOTS = 12;
+
+  private static final int MAX_FINALS = 50_000;
+
+  /** A live controller's record. */
+  public record ControllerRecord(String boot, String zone, long version) {}
+
+  /** Who schedules a slot's jobs, or holds the fleet duty. */
+  public record Holder(String label, String boot, long version) {}
+
+  /** A machine's record. Its version is the worker's token. */
+  public record MachineRecord(
+      String name,
+      String owner,
+      String boot,
+      String address,
+      String type,
+      String zone,
+      boolean spot,
+      boolean drain,
+      long version) {
+
+    public ObjectNode write() {
+      ObjectNode map = Cbor.map();
+      map.put("owner", owner).put("boot", boot).put("addr", address).put("type", type);
+      map.put("zone", zone).put("spot", spot).put("drain", drain);
+      return map;
+    }
+  }
+
+  /** A job's record with its version. */
+  public record Job(JobRecord record, long version, int slot) {
+    public String id() {
+      return record.spec().id();
+    }
+  }
+
+  /** A placement together with its job. */
+  public record Placed(Job job, Placement placement) {}
+
+  private final Map<String, ControllerRecord> controllers = new TreeMap<>();
+  private final Holder[] slots = new Holder[SLOTS];
+  private final Map<String, Job> jobs = new TreeMap<>();
+  private final Map<String, MachineRecord> machines = new TreeMap<>();
+  private final Map<String, Long> teams = new HashMap<>();
+  private Holder fleet;
+  private ObjectNode types;
+  private final LinkedHashMap<String, JobRecord.Phase> finals = new LinkedHashMap<>();
+  private final Map<String, Long> versions = new HashMap<>();
+  private Map<String, List<Placed>> byMachine = Map.of();
+  private long revision = -1;
+  private final Runnable changed;
+
+  public World(Runnable changed) {
+    this.changed = changed;
+  }
+
+  public static int slotOf(String job) {
+    // String.hashCode is fixed by the language, so every controller and version agrees.
+    return Math.floorMod(job.hashCode() * 0x9E3779B1, SLOTS);
+  }
+
+  public static String jobKey(String job) {
+    return PREFIX + "jobs/" + slotOf(job) + "/" + job;
+  }
+
+  public static String machineKey(String machine) {
+    return PREFIX + "machines/" + machine;
+  }
+
+  public static String controllerKey(String label) {
+    return PREFIX + "controllers/" + label;
+  }
+
+  public static String slotKey(int slot) {
+    return PREFIX + "slots/" + slot;
+  }
+
+  public static String teamKey(String team) {
+    return PREFIX + "teams/" + team.replace(' ', '_');
+  }
+
+  public static final String FLEET_KEY = PREFIX + "fleet";
+  public static final String TYPES_KEY = PREFIX + "types";
+
+  public static ObjectNode holder(String label, String boot) {
+    return Cbor.map().put("label", label).put("boot", boot);
+  }
+
+  @Override
+  public void snapshot(List<Change> all, long atRevision) {
+    Set<String> seen = new HashSet<>();
+    all.forEach(change -> seen.add(change.key()));
+    for (String key : List.copyOf(versions.keySet())) {
+      if (!seen.contains(key)) {
+        apply(new Change(key, null, Long.MAX_VALUE));
+      }
+    }
+    all.forEach(this::apply);
+    revision = Math.max(revision, atRevision);
+    reindex();
+    changed.run();
+  }
+
+  @Override
+  public void changes(List<Change> changes, long atRevision) {
+    revision = Math.max(revision, atRevision);
+    if (changes.isEmpty()) {
+      return;
+    }
+    changes.forEach(this::apply);
+    reindex();
+    changed.run();
+  }
+
+  private void apply(Change change) {
+    String key = change.key();
+    if (!key.startsWith(PREFIX) || change.version() <= versions.getOrDefault(key, 0L)) {
+      return;
+    }
+    if (change.value() == null) {
+      versions.remove(key);
+    } else {
+      versions.put(key, change.version());
+    }
+    try {
+      applyTyped(key.substring(PREFIX.length()), change.value(), change.version());
+    } catch (BadInput | NumberFormatException e) {
+      log.error("record {} is unreadable and left alone: {}", key, e.getMessage());
+    }
+  }
+
+  private void applyTyped(String key, ObjectNode value, long version) throws BadInput {
+    int slash = key.indexOf('/');
+    String kind = slash < 0 ? key : key.substring(0, slash);
+    String name = key.substring(slash + 1);
+    switch (kind) {
+      case "controllers" ->
+          put(
+              controllers,
+              name,
+              value == null
+                  ? null
+                  : new ControllerRecord(
+                      Read.text(value, "boot"), Read.text(value, "zone"), version));
+      case "slots" -> {
+        int slot = Integer.parseInt(name);
+        if (slot >= 0 && slot < SLOTS) {
+          slots[slot] = readHolder(value, version);
+        }
+      }
+      case "fleet" -> fleet = readHolder(value, version);
+      case "types" -> types = value;
+      case "teams" -> put(teams, key.substring(slash + 1), value == null ? null : version);
+      case "machines" -> put(machines, name, value == null ? null : readMachine(name, value, version));
+      case "jobs" -> {
+        String id = name.substring(name.indexOf('/') + 1);
+        if (value == null) {
+          jobs.remove(id);
+          return;
+        }
+        JobRecord record = JobRecord.read(value);
+        if (!record.active()) {
+          finals.put(id, record.phase());
+          if (finals.size() > MAX_FINALS) {
+            finals.remove(finals.keySet().iterator().next());
+          }
+        }
+        if (record.spec() == null) {
+          jobs.remove(id);
+          versions.remove(jobKey(id));
+        } else {
+          jobs.put(id, new Job(record, version, slotOf(id)));
+        }
+      }
+      default -> log.debug("unknown record {}", key);
+    }
+  }
+
+  private static Holder readHolder(ObjectNode value, long version) throws BadInput {
+    return value == null
+        ? null
+        : new Holder(Read.text(value, "label"), Read.text(value, "boot"), version);
+  }
+
+  private static MachineRecord readMachine(String name, ObjectNode value, long version)
+      throws BadInput {
+    return new MachineRecord(
+        name,
+        Read.text(value, "owner"),
+        Read.text(value, "boot"),
+        Read.text(value, "addr"),
+        Read.text(value, "type"),
+        Read.text(value, "zone"),
+        Read.flag(value, "spot"),
+        Read.flagOr(value, "drain", false),
+        version);
+  }
+
+  private static <V> void put(Map<String, V> map, String key, V value) {
+    if (value == null) {
+      map.remove(key);
+    } else {
+      map.put(key, value);
+    }
+  }
+
+  private void reindex() {
+    Map<String, List<Placed>> index = new HashMap<>();
+    for (Job job : jobs.values()) {
+      for (Placement placement : job.record().placements()) {
+        index
+            .computeIfAbsent(placement.machine(), k -> new ArrayList<>())
+            .add(new Placed(job, placement));
+      }
+    }
+    byMachine = index;
+  }
+
+  public long revision() {
+    return revision;
+  }
+
+  public boolean loaded() {
+    return revision >= 0;
+  }
+
+  public Map<String, ControllerRecord> controllers() {
+    return Collections.unmodifiableMap(controllers);
+  }
+
+  public Holder slot(int slot) {
+    return slots[slot];
+  }
+
+  public Holder fleet() {
+    return fleet;
+  }
+
+  public ObjectNode types() {
+    return types;
+  }
+
+  /** Jobs with work or placements left; those that are over and empty are not among them. */
+  public Map<String, Job> jobs() {
+    return Collections.unmodifiableMap(jobs);
+  }
+
+  public Job job(String id) {
+    return jobs.get(id);
+  }
+
+  /** The final state, if the job is known to have one; it never changes again. */
+  public JobRecord.Phase finalPhase(String id) {
+    return finals.get(id);
+  }
+
+  public Map<String, MachineRecord> machines() {
+    return Collections.unmodifiableMap(machines);
+  }
+
+  public MachineRecord machine(String name) {
+    return machines.get(name);
+  }
+
+  public long teamVersion(String team) {
+    return teams.getOrDefault(team.replace(' ', '_'), 0L);
+  }
+
+  public List<Placed> placedOn(String machine) {
+    return byMachine.getOrDefault(machine, List.of());
+  }
+
+  /** Whether the controller's record is there under this very start of its process. */
+  public boolean alive(String label, String boot) {
+    ControllerRecord record = controllers.get(label);
+    return record != null && record.boot().equals(boot);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/tansystack/jobs/JobDuty.java
@@ -0,0 +1,496 @@
+package io.tansystack.jobs;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.cluster.OwnLease;
+import io.tansystack.cluster.SlotDuty;
+import io.tansystack.cluster.World;
+import io.tansystack.cluster.World.Job;
+import io.tansystack.cluster.World.MachineRecord;
+import io.tansystack.http.Loop;
+import io.tansystack.schedule.Plan;
+import io.tansystack.schedule.Planner;
+import io.tansystack.schedule.Snapshot;
+import io.tansystack.schedule.Snapshot.JobState;
+import io.tansystack.schedule.Snapshot.MachineState;
+import io.tansystack.settings.PlatformSettings;
+import io.tansystack.settings.PlatformSettings.Team;
+import io.tansystack.store.StoreClient;
+import io.tansystack.store.StoreClient.Result;
+import io.tansystack.wire.Cbor;
+import io.tansystack.wire.JobSpec;
+import io.tansystack.wire.MachineType;
+import io.tansystack.wire.Shape;
+import io.tansystack.wire.StoreWire.Condition;
+import io.tansystack.wire.StoreWire.Write;
+import io.tansystack.wire.TaskReport;
+import io.tansystack.wire.TaskReport.Cause;
+import io.tansystack.workers.Proofs;
+import io.tansystack.workers.View;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The slot holder's rounds: takes proofs into the records of its jobs, plans, and writes placements.
+ * One write for a job is under way at a time; until the copy of the records shows it, the job counts
+ * as it was written.
+ */
+public final class JobDuty {
+  private static final Logger log = LoggerFactory.getLogger(JobDuty.class);
+  private static final Duration MIN_GAP = Duration.ofMillis(40);
+  private static final Duration FOREIGN_AFTER = Duration.ofMillis(2500);
+  private static final Duration AVOID = Duration.ofSeconds(30);
+  private static final Duration LONGEST_BACKOFF = Duration.ofSeconds(60);
+
+  private record Pending(JobRecord record, long baseVersion, long revision) {}
+
+  /** What this controller remembers of a job's troubles; lost with the process, by intent. */
+  private static final class Trouble {
+    final Map<String, Duration> avoid = new HashMap<>();
+    final Set<String> seen = new HashSet<>();
+    int errors;
+    Duration notBefore = Duration.ZERO;
+  }
+
+  private record Unabsorbed(long version, Duration since) {}
+
+  private record Candidate(Job job, JobRecord next, Proofs proofs, boolean places, boolean ends) {}
+
+  private final Loop loop;
+  private final StoreClient store;
+  private final World world;
+  private final OwnLease lease;
+  private final SlotDuty slots;
+  private final PlatformSettings settings;
+  private final Function<String, View> views;
+  private final Function<String, MachineType> types;
+  private final Map<String, Team> teams = new HashMap<>();
+  private final Map<String, Pending> pending = new HashMap<>();
+  private final Map<String, Duration> lastWrite = new HashMap<>();
+  private final Map<String, Trouble> troubles = new HashMap<>();
+  private final Map<String, Unabsorbed> unabsorbed = new HashMap<>();
+  private final Set<String> teamsInFlight = new HashSet<>();
+  private final Duration arrayGap;
+  private final int window;
+  private final int maxPlacementChars;
+  private Duration lastPass = Duration.ZERO;
+  private boolean scheduled;
+  private Plan plan = new Plan(Map.of(), Map.of(), List.of());
+
+  public JobDuty(
+      Loop loop,
+      StoreClient store,
+      World world,
+      OwnLease lease,
+      SlotDuty slots,
+      PlatformSettings settings,
+      Function<String, View> views,
+      Function<String, MachineType> types) {
+    this.loop = loop;
+    this.store = store;
+    this.world = world;
+    this.lease = lease;
+    this.slots = slots;
+    this.settings = settings;
+    this.views = views;
+    this.types = types;
+    settings.teams().forEach(team -> teams.put(team.name(), team));
+    // Several arrays run at a time: each may use a part of the write limit only.
+    this.arrayGap = Duration.ofMillis((long) (20_000 / settings.store().writeRps()));
+    this.window = settings.store().valueBytes() / 16;
+    this.maxPlacementChars = settings.store().valueBytes() / 2;
+  }
+
+  /** What the last pass could not place, over all jobs. */
+  public Plan lastPlan() {
+    return plan;
+  }
+
+  /** Asks for a pass soon; many causes make one pass. */
+  public void wake() {
+    wake(MIN_GAP.minus(loop.now().minus(lastPass)));
+  }
+
+  private void wake(Duration delay) {
+    if (scheduled) {
+      return;
+    }
+    scheduled = true;
+    Duration wait = delay.compareTo(Duration.ofMillis(2)) < 0 ? Duration.ofMillis(2) : delay;
+    loop.after(
+        wait,
+        () -> {
+          scheduled = false;
+          pass();
+        });
+  }
+
+  private void pass() {
+    lastPass = loop.now();
+    if (!lease.valid()) {
+      return;
+    }
+    Map<String, Proofs> proofs = new HashMap<>();
+    Map<String, JobRecord> effective = new LinkedHashMap<>();
+    for (Job job : world.jobs().values()) {
+      JobRecord record = current(job);
+      Proofs found =
+          Proofs.collect(job.id(), record, views, world::machine, World::machineKey);
+      if (!found.over().isEmpty()) {
+        proofs.put(job.id(), found);
+        if (slots.holds(job.slot())) {
+          remember(job.id(), found);
+        }
+        record = record.absorbed(found.over());
+      }
+      effective.put(job.id(), record);
+    }
+    pending.keySet().retainAll(effective.keySet());
+    troubles.keySet().retainAll(effective.keySet());
+    lastWrite.keySet().retainAll(effective.keySet());
+    unabsorbed.keySet().retainAll(effective.keySet());
+    plan = Planner.plan(snapshot(effective), window, maxPlacementChars, settings.store().txnOps() * 2);
+    write(candidates(effective, proofs));
+    absorbForeign(effective, proofs);
+  }
+
+  /** The record as last written by this controller, while the copy doesn't show it yet. */
+  private JobRecord current(Job job) {
+    Pending p = pending.get(job.id());
+    if (p == null) {
+      return job.record();
+    }
+    if (p.revision > 0 && world.revision() >= p.revision) {
+      pending.remove(job.id());
+      return job.record();
+    }
+    return job.version() == p.baseVersion ? p.record : job.record();
+  }
+
+  private Snapshot snapshot(Map<String, JobRecord> effective) {
+    List<MachineState> machines = new ArrayList<>();
+    for (MachineRecord record : world.machines().values()) {
+      MachineType type = types.apply(record.type());
+      if (type != null) {
+        machines.add(state(record, type, views.apply(record.name())));
+      }
+    }
+    Duration now = loop.now();
+    List<JobState> jobs = new ArrayList<>();
+    for (Map.Entry<String, JobRecord> entry : effective.entrySet()) {
+      if (entry.getValue().spec() == null) {
+        continue;
+      }
+      Trouble trouble = troubles.get(entry.getKey());
+      Set<String> avoid = Set.of();
+      boolean waiting = !pending.containsKey(entry.getKey());
+      if (trouble != null) {
+        trouble.avoid.values().removeIf(until -> now.compareTo(until) > 0);
+        avoid = Set.copyOf(trouble.avoid.keySet());
+        waiting &= now.compareTo(trouble.notBefore) >= 0;
+      }
+      jobs.add(new JobState(entry.getKey(), entry.getValue(), waiting, avoid));
+    }
+    return new Snapshot(machines, jobs, teams);
+  }
+
+  private MachineState state(MachineRecord record, MachineType type, View view) {
+    Set<String> coming = new HashSet<>();
+    double queued = 0;
+    if (view != null) {
+      for (TaskReport task : view.report().tasks()) {
+        if (task.state() == TaskReport.State.FETCHING) {
+          Job job = world.job(task.task().job());
+          JobSpec spec = job == null ? null : job.record().spec();
+          if (spec != null && !view.images().containsKey(spec.image()) && coming.add(spec.image())) {
+            queued += spec.imageGb();
+          }
+        }
+      }
+    }
+    long patience = settings.workers().report().toMillis() * 5 / 2 + 500;
+    boolean open =
+        view != null
+            && !record.drain()
+            && world.alive(record.owner(), record.boot())
+            && view.token() == record.version()
+            && view.report().token() == record.version()
+            && view.report().noticeS() == null
+            && view.silentMs() < patience;
+    return new MachineState(
+        record.name(),
+        type,
+        record.zone(),
+        record.spot(),
+        view == null ? 0 : view.report().session(),
+        open,
+        view == null ? Set.of() : view.images().keySet(),
+        coming,
+        queued,
+        view != null && view.fetchGbPerS() > 0 ? view.fetchGbPerS() : Math.max(0.01, type.fetchGbPerS()),
+        view != null && view.slowness() > 0 ? view.slowness() : 1);
+  }
+
+  private void remember(String job, Proofs found) {
+    Duration now = loop.now();
+    for (Proofs.Failure failure : found.failures()) {
+      Trouble trouble = troubles.computeIfAbsent(job, k -> new Trouble());
+      if (!trouble.seen.add(failure.task() + "@" + failure.machine() + "@" + failure.cause())) {
+        continue;
+      }
+      if (trouble.seen.size() > 1000) {
+        trouble.seen.clear();
+      }
+      log.info(
+          "failed task={}/{} machine={} cause={}",
+          job,
+          failure.task(),
+          failure.machine(),
+          failure.cause());
+      if (failure.cause() == Cause.PEERS || failure.cause() == Cause.ALONE) {
+        continue;
+      }
+      trouble.avoid.put(failure.machine(), now.plus(AVOID));
+      if (failure.cause() == Cause.ERROR || failure.cause() == Cause.UNKNOWN) {
+        // A job with a mistake in it fails everywhere: it must not keep machines busy with failing.
+        trouble.errors++;
+        Duration backoff = Duration.ofMillis(500L << Math.min(trouble.errors, 7));
+        trouble.notBefore =
+            now.plus(backoff.compareTo(LONGEST_BACKOFF) > 0 ? LONGEST_BACKOFF : backoff);
+      }
+    }
+  }
+
+  private List<Candidate> candidates(
+      Map<String, JobRecord> effective, Map<String, Proofs> proofs) {
+    List<Candidate> candidates = new ArrayList<>();
+    for (Map.Entry<String, JobRecord> entry : effective.entrySet()) {
+      Job job = world.job(entry.getKey());
+      if (!slots.holds(job.slot()) || pending.containsKey(entry.getKey())) {
+        continue;
+      }
+      JobRecord next = entry.getValue();
+      boolean ends = next.phase() != job.record().phase();
+      for (Plan.Stop stop : plan.stops().getOrDefault(entry.getKey(), List.of())) {
+        next =
+            next.spec().shape() == Shape.GANG
+                ? next.allStopped()
+                : next.stopped(stop.machine(), stop.tasks());
+        log.info(
+            "preempt job={} tasks={} machine={} for={}",
+            entry.getKey(),
+            stop.tasks(),
+            stop.machine(),
+            stop.forJob());
+      }
+      next = stopBeforeRecall(next);
+      List<JobRecord.Assignment> round = plan.placements().getOrDefault(entry.getKey(), List.of());
+      if (!round.isEmpty()) {
+        next = next.placed(round);
+      }
+      if (!next.equals(job.record())) {
+        candidates.add(
+            new Candidate(job, next, proofs.get(entry.getKey()), !round.isEmpty(), ends));
+      }
+    }
+    candidates.sort(
+        Comparator.comparing((Candidate c) -> !c.ends)
+            .thenComparing(c -> c.job.record().spec().priority())
+            .thenComparing(c -> !c.places)
+            .thenComparingLong(c -> c.job.record().submittedMs()));
+    return candidates;
+  }
+
+  /** Work that can save itself is stopped in order when the cloud takes its machine away. */
+  private JobRecord stopBeforeRecall(JobRecord record) {
+    if (!record.active() || record.spec().checkpointS() <= 0) {
+      return record;
+    }
+    JobRecord next = record;
+    for (Placement p : record.placements()) {
+      View view = views.apply(p.machine());
+      if (!p.stop() && view != null && view.report().noticeS() != null) {
+        log.info("stop job={} machine={} because=spot notice", record.spec().id(), p.machine());
+        next =
+            record.spec().shape() == Shape.GANG
+                ? next.allStopped()
+                : next.stopped(p.machine(), p.tasks());
+      }
+    }
+    return next;
+  }
+
+  private void write(List<Candidate> candidates) {
+    Duration now = loop.now();
+    Duration again = null;
+    for (Candidate c : candidates) {
+      JobSpec spec = c.job.record().spec();
+      Duration last = lastWrite.get(c.job.id());
+      if (spec.shape() == Shape.ARRAY && !c.ends && last != null) {
+        Duration due = last.plus(c.places ? arrayGap : arrayGap.multipliedBy(2)).minus(now);
+        if (!due.isNegative()) {
+          again = again == null || due.compareTo(again) < 0 ? due : again;
+          continue;
+        }
+      }
+      Team team = teams.get(spec.team());
+      boolean limited =
+          c.places
+              && team != null
+              && ((team.cpusMax() > 0 && spec.cpus() > 0)
+                  || (team.gpusMax() > 0 && spec.gpus() > 0));
+      if (limited && teamsInFlight.contains(spec.team())) {
+        again = MIN_GAP;
+        continue;
+      }
+      ObjectNode value = c.next.write();
+      if (!store.reserve(limited ? 2 : 1)) {
+        again = MIN_GAP;
+        break;
+      }
+      commit(c, value, limited);
+    }
+    if (again != null) {
+      wake(again);
+    }
+  }
+
+  /**
+   * The write holds only if the slot is still ours, the record is as it was planned on, every machine
+   * chosen still has the owner and token that were seen, and, for teams with a limit, if nobody else
+   * has placed anything for the team since: its record is rewritten with every placement.
+   */
+  private void commit(Candidate c, ObjectNode value, boolean limited) {
+    JobSpec spec = c.job.record().spec();
+    String id = c.job.id();
+    List<Condition> conditions = new ArrayList<>();
+    conditions.add(new Condition(World.slotKey(c.job.slot()), world.slot(c.job.slot()).version()));
+    conditions.add(new Condition(World.jobKey(id), c.job.version()));
+    Set<String> named = new HashSet<>();
+    if (c.places) {
+      for (JobRecord.Assignment part : plan.placements().get(id)) {
+        if (named.add(World.machineKey(part.machine()))) {
+          conditions.add(
+              new Condition(
+                  World.machineKey(part.machine()), world.machine(part.machine()).version()));
+        }
+      }
+    }
+    addProofConditions(c.proofs, named, conditions);
+    List<Write> writes = new ArrayList<>();
+    writes.add(new Write(World.jobKey(id), value, 0));
+    if (limited) {
+      conditions.add(new Condition(World.teamKey(spec.team()), world.teamVersion(spec.team())));
+      writes.add(
+          new Write(
+              World.teamKey(spec.team()),
+              Cbor.map().put("job", id),
+              0));
+      teamsInFlight.add(spec.team());
+    }
+    if (conditions.size() > settings.store().txnOps() * 4) {
+      log.error("job={} needs {} conditions, more than allowed", id, conditions.size());
+      return;
+    }
+    lastWrite.put(id, loop.now());
+    pending.put(id, new Pending(c.next, c.job.version(), 0));
+    if (c.places && log.isInfoEnabled()) {
+      log.info("place job={} attempt={} {}", id, c.next.attempt(), plan.placements().get(id).stream()
+          .map(a -> a.machine() + "=" + a.tasks())
+          .toList());
+    }
+    store.commitReserved(
+        conditions,
+        writes,
+        (result, revision) -> {
+          if (result == Result.DONE) {
+            pending.computeIfPresent(
+                id, (k, p) -> new Pending(p.record, p.baseVersion, revision));
+            if (c.ends) {
+              log.info("over job={} phase={}", id, c.next.phase());
+            }
+            loop.after(
+                limited ? Duration.ofMillis(60) : Duration.ZERO,
+                () -> teamsInFlight.remove(spec.team()));
+          } else {
+            log.debug("write of job={} result={}", id, result);
+            teamsInFlight.remove(spec.team());
+            // After silence the write may still come; a pause lets the copy show it first.
+            loop.after(
+                result == Result.UNKNOWN ? Duration.ofMillis(500) : Duration.ofMillis(30),
+                () -> {
+                  pending.remove(id);
+                  wake();
+                });
+            return;
+          }
+          wake();
+        });
+  }
+
+  private static void addProofConditions(
+      Proofs proofs, Set<String> named, List<Condition> conditions) {
+    if (proofs != null) {
+      for (Condition condition : proofs.conditions()) {
+        if (named.add(condition.key())) {
+          conditions.add(condition);
+        }
+      }
+    }
+  }
+
+  /**
+   * Where the holder of a job's slot does not take in proofs that have been here for a while, for
+   * instance because it can't be reached, they are written without it: the record's own version is
+   * enough for that, and users learn that their job is done.
+   */
+  private void absorbForeign(Map<String, JobRecord> effective, Map<String, Proofs> proofs) {
+    Duration now = loop.now();
+    unabsorbed.keySet().retainAll(proofs.keySet());
+    for (Map.Entry<String, Proofs> entry : proofs.entrySet()) {
+      String id = entry.getKey();
+      Job job = world.job(id);
+      if (slots.holds(job.slot()) || pending.containsKey(id)) {
+        unabsorbed.remove(id);
+        continue;
+      }
+      Unabsorbed known = unabsorbed.get(id);
+      if (known == null || known.version != job.version()) {
+        unabsorbed.put(id, new Unabsorbed(job.version(), now));
+        continue;
+      }
+      if (now.minus(known.since).compareTo(FOREIGN_AFTER) < 0 || !store.reserve(1)) {
+        continue;
+      }
+      unabsorbed.remove(id);
+      List<Condition> conditions = new ArrayList<>();
+      conditions.add(new Condition(World.jobKey(id), job.version()));
+      addProofConditions(entry.getValue(), new HashSet<>(), conditions);
+      JobRecord next = effective.get(id);
+      log.info("taking in proofs for job={} of another's slot {}", id, job.slot());
+      pending.put(id, new Pending(next, job.version(), 0));
+      store.commitReserved(
+          conditions,
+          List.of(new Write(World.jobKey(id), next.write(), 0)),
+          (result, revision) ->
+              loop.after(
+                  Duration.ofMillis(300),
+                  () -> {
+                    pending.remove(id);
+                    wake();
+                  }));
+    }
+    if (!unabsorbed.isEmpty()) {
+      loop.after(Duration.ofSeconds(1), this::wake);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/tansystack/jobs/JobRecord.java
@@ -0,0 +1,249 @@
+package io.tansystack.jobs;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.wire.Answers.JobState;
+import io.tansystack.wire.BadInput;
+import io.tansystack.wire.Cbor;
+import io.tansystack.wire.JobSpec;
+import io.tansystack.wire.Read;
+import io.tansystack.wire.Shape;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A job as the state service keeps it. Every change is a pure function of the record and of proofs,
+ * so that a compare-and-set on its version is enough to keep it right, whoever writes it. A job that
+ * is over and has no placement left keeps its outcome alone ({@code spec} null).
+ */
+public record JobRecord(
+    JobSpec spec,
+    long submittedMs,
+    Phase phase,
+    TaskSet done,
+    long attempt,
+    List<Placement> placements) {
+
+  /** Where a job is in its life; the last two are for ever. */
+  public enum Phase {
+    ACTIVE("active"),
+    DONE("done"),
+    CANCELLED("cancelled");
+
+    final String text;
+
+    Phase(String text) {
+      this.text = text;
+    }
+  }
+
+  /** Proof that one attempt of a task on a machine is over; {@code done} if it completed. */
+  public record Over(int task, long attempt, String machine, boolean done) {}
+
+  /** One machine's part of a placement round. */
+  public record Assignment(String machine, long session, TaskSet tasks) {}
+
+  public static JobRecord created(JobSpec spec, long nowMs) {
+    return new JobRecord(spec, nowMs, Phase.ACTIVE, TaskSet.EMPTY, 0, List.of());
+  }
+
+  public boolean active() {
+    return phase == Phase.ACTIVE;
+  }
+
+  public JobRecord cancelled() {
+    return new JobRecord(spec, submittedMs, Phase.CANCELLED, done, attempt, placements).shrunk();
+  }
+
+  private JobRecord shrunk() {
+    if (active() || !placements.isEmpty()) {
+      return this;
+    }
+    return new JobRecord(null, submittedMs, phase, TaskSet.EMPTY, 0, List.of());
+  }
+
+  /** Adds a round of placements under the next attempt number. */
+  public JobRecord placed(Collection<Assignment> round) {
+    List<Placement> next = new ArrayList<>(placements);
+    for (Assignment part : round) {
+      next.add(new Placement(part.machine, part.session, attempt + 1, part.tasks, false));
+    }
+    return new JobRecord(spec, submittedMs, phase, done, attempt + 1, List.copyOf(next));
+  }
+
+  /** Marks tasks as no longer wanted where they are. */
+  public JobRecord stopped(String machine, TaskSet tasks) {
+    List<Placement> next = new ArrayList<>();
+    for (Placement p : placements) {
+      BitSet hit = p.tasks().toBits();
+      hit.and(tasks.toBits());
+      if (p.stop() || !p.machine().equals(machine) || hit.isEmpty()) {
+        next.add(p);
+        continue;
+      }
+      BitSet rest = p.tasks().toBits();
+      rest.andNot(hit);
+      if (!rest.isEmpty()) {
+        next.add(p.withTasks(TaskSet.of(rest)));
+      }
+      next.add(new Placement(p.machine(), p.session(), p.attempt(), TaskSet.of(hit), true));
+    }
+    return new JobRecord(spec, submittedMs, phase, done, attempt, List.copyOf(next));
+  }
+
+  /** Marks every placement as no longer wanted: a gang lives or ends as a whole. */
+  public JobRecord allStopped() {
+    JobRecord record = this;
+    for (Placement p : placements) {
+      record = record.stopped(p.machine(), p.tasks());
+    }
+    return record;
+  }
+
+  /**
+   * Takes in proofs. A proof that matches no placement changes nothing, so repeated and late ones do
+   * no harm. The job becomes done only here, when its last task has completed.
+   */
+  public JobRecord absorbed(Collection<Over> proofs) {
+    Map<String, BitSet> over = new HashMap<>();
+    BitSet nowDone = done.toBits();
+    boolean gangDone = false;
+    boolean gangBroken = false;
+    for (Over proof : proofs) {
+      if (!holds(proof.machine, proof.attempt, proof.task)) {
+        continue;
+      }
+      over.computeIfAbsent(key(proof.machine, proof.attempt), k -> new BitSet()).set(proof.task);
+      if (active() && spec.shape() != Shape.SERVICE) {
+        if (proof.done) {
+          nowDone.set(proof.task);
+          gangDone = spec.shape() == Shape.GANG;
+        } else {
+          gangBroken = spec.shape() == Shape.GANG;
+        }
+      }
+    }
+    if (over.isEmpty()) {
+      return this;
+    }
+    List<Placement> left = new ArrayList<>();
+    for (Placement p : placements) {
+      BitSet gone = over.get(key(p.machine(), p.attempt()));
+      if (gone == null) {
+        left.add(p);
+        continue;
+      }
+      BitSet rest = p.tasks().toBits();
+      rest.andNot(gone);
+      if (!rest.isEmpty()) {
+        left.add(p.withTasks(TaskSet.of(rest)));
+      }
+    }
+    if (gangDone) {
+      nowDone.set(0, spec.tasks());
+    }
+    Phase next = phase;
+    if (active() && spec.shape() != Shape.SERVICE && nowDone.cardinality() >= spec.tasks()) {
+      next = Phase.DONE;
+    }
+    JobRecord result =
+        new JobRecord(spec, submittedMs, next, TaskSet.of(nowDone), attempt, List.copyOf(left));
+    if (gangBroken && result.active()) {
+      result = result.allStopped();
+    }
+    return result.shrunk();
+  }
+
+  private static String key(String machine, long attempt) {
+    return machine + "#" + attempt;
+  }
+
+  /** Whether this attempt of the task may exist on the machine. */
+  public boolean holds(String machine, long attempt, int task) {
+    return find(machine, attempt, task) != null;
+  }
+
+  public Placement find(String machine, long attempt, int task) {
+    for (Placement p : placements) {
+      if (p.attempt() == attempt && p.machine().equals(machine) && p.tasks().contains(task)) {
+        return p;
+      }
+    }
+    return null;
+  }
+
+  /** Tasks that are neither done nor may exist anywhere. */
+  public TaskSet unplaced() {
+    BitSet bits = new BitSet(spec.tasks());
+    bits.set(0, spec.tasks());
+    bits.andNot(done.toBits());
+    for (Placement p : placements) {
+      bits.andNot(p.tasks().toBits());
+    }
+    return TaskSet.of(bits);
+  }
+
+  public int placedCount() {
+    int count = 0;
+    for (Placement p : placements) {
+      count += p.tasks().size();
+    }
+    return count;
+  }
+
+  public JobState state() {
+    return switch (phase) {
+      case DONE -> JobState.DONE;
+      case CANCELLED -> JobState.CANCELLED;
+      case ACTIVE -> placements.isEmpty() ? JobState.PENDING : JobState.RUNNING;
+    };
+  }
+
+  public static JobRecord read(ObjectNode map) throws BadInput {
+    Phase phase = null;
+    String text = Read.text(map, "phase");
+    for (Phase candidate : Phase.values()) {
+      if (candidate.text.equals(text)) {
+        phase = candidate;
+      }
+    }
+    if (phase == null) {
+      throw new BadInput("phase: unknown value");
+    }
+    long at = Read.integer(map, "at");
+    if (!Read.has(map, "spec")) {
+      if (phase == Phase.ACTIVE) {
+        throw new BadInput("spec: missing");
+      }
+      return new JobRecord(null, at, phase, TaskSet.EMPTY, 0, List.of());
+    }
+    List<Placement> placements = new ArrayList<>();
+    for (JsonNode node : Read.list(map, "placed")) {
+      placements.add(Placement.read(Read.map(node, "placed")));
+    }
+    return new JobRecord(
+        JobSpec.read(Read.map(map, "spec")),
+        at,
+        phase,
+        Placement.tasks(map, "done"),
+        Read.integer(map, "attempt"),
+        List.copyOf(placements));
+  }
+
+  public ObjectNode write() {
+    ObjectNode map = Cbor.map();
+    map.put("phase", phase.text).put("at", submittedMs);
+    if (spec != null) {
+      map.set("spec", spec.write());
+      map.put("done", done.toString()).put("attempt", attempt);
+      ArrayNode list = map.putArray("placed");
+      placements.forEach(p -> list.add(p.write()));
+    }
+    return map;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/tansystack/jobs/TaskSet.java
@@ -0,0 +1,125 @@
+package io.tansystack.jobs;
+
+import java.util.BitSet;
+import java.util.function.IntConsumer;
+
+/** An immutable set of task numbers, written as ranges such as {@code 0-5,7}. */
+public final class TaskSet {
+  public static final TaskSet EMPTY = new TaskSet(new BitSet());
+
+  private final BitSet bits;
+  private final int size;
+
+  private TaskSet(BitSet bits) {
+    this.bits = bits;
+    this.size = bits.cardinality();
+  }
+
+  public static TaskSet of(BitSet bits) {
+    return bits.isEmpty() ? EMPTY : new TaskSet((BitSet) bits.clone());
+  }
+
+  public static TaskSet range(int from, int to) {
+    BitSet bits = new BitSet();
+    bits.set(from, to);
+    return of(bits);
+  }
+
+  /** Reads the written form; throws IllegalArgumentException if it is not one. */
+  public static TaskSet parse(String text) {
+    BitSet bits = new BitSet();
+    if (!text.isEmpty()) {
+      for (String range : text.split(",")) {
+        int dash = range.indexOf('-');
+        int from = Integer.parseInt(dash < 0 ? range : range.substring(0, dash));
+        int to = dash < 0 ? from : Integer.parseInt(range.substring(dash + 1));
+        if (from < 0 || to < from || to > 1_000_000) {
+          throw new IllegalArgumentException("bad range " + range);
+        }
+        bits.set(from, to + 1);
+      }
+    }
+    return of(bits);
+  }
+
+  public boolean contains(int task) {
+    return bits.get(task);
+  }
+
+  public int size() {
+    return size;
+  }
+
+  public boolean isEmpty() {
+    return size == 0;
+  }
+
+  public void forEach(IntConsumer action) {
+    for (int i = bits.nextSetBit(0); i >= 0; i = bits.nextSetBit(i + 1)) {
+      action.accept(i);
+    }
+  }
+
+  /** The lowest number not in the set. */
+  public int firstMissing() {
+    return bits.nextClearBit(0);
+  }
+
+  public int next(int from) {
+    return bits.nextSetBit(from);
+  }
+
+  public TaskSet with(TaskSet other) {
+    BitSet result = toBits();
+    result.or(other.bits);
+    return of(result);
+  }
+
+  public TaskSet with(int task) {
+    BitSet result = toBits();
+    result.set(task);
+    return of(result);
+  }
+
+  public TaskSet without(int task) {
+    BitSet result = toBits();
+    result.clear(task);
+    return of(result);
+  }
+
+  public BitSet toBits() {
+    return (BitSet) bits.clone();
+  }
+
+  /** Sets the members in the given bits. */
+  public void addTo(BitSet target) {
+    target.or(bits);
+  }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof TaskSet set && bits.equals(set.bits);
+  }
+
+  @Override
+  public int hashCode() {
+    return bits.hashCode();
+  }
+
+  @Override
+  public String toString() {
+    StringBuilder text = new StringBuilder();
+    for (int from = bits.nextSetBit(0); from >= 0; ) {
+      int end = bits.nextClearBit(from);
+      if (text.length() > 0) {
+        text.append(',');
+      }
+      text.append(from);
+      if (end - 1 > from) {
+        text.append('-').append(end - 1);
+      }
+      from = bits.nextSetBit(end);
+    }
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/tansystack/schedule/Plan.java
@@ -0,0 +1,25 @@
+package io.tansystack.schedule;
+
+import io.tansystack.jobs.JobRecord.Assignment;
+import io.tansystack.jobs.TaskSet;
+import io.tansystack.wire.JobSpec;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The outcome of a pass over all jobs. Every controller computes the same plan from the same records
+ * and carries out only what concerns its own slots' jobs.
+ *
+ * @param placements new placements by job
+ * @param stops placements to be stopped to make room, by job
+ * @param unmet jobs with tasks that found no room, in planning order
+ */
+public record Plan(
+    Map<String, List<Assignment>> placements, Map<String, List<Stop>> stops, List<Unmet> unmet) {
+
+  /** Tasks of a job to be stopped on a machine. */
+  public record Stop(String machine, TaskSet tasks, String forJob) {}
+
+  /** Tasks that found no room. */
+  public record Unmet(String job, JobSpec spec, int tasks, boolean guaranteed) {}
+}
--- /dev/null
+++ b/src/main/java/io/tansystack/schedule/Snapshot.java
@@ -0,0 +1,43 @@
+package io.tansystack.schedule;
+
+import io.tansystack.jobs.JobRecord;
+import io.tansystack.settings.PlatformSettings.Team;
+import io.tansystack.wire.MachineType;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** All that a planning pass looks at. */
+public record Snapshot(List<MachineState> machines, List<JobState> jobs, Map<String, Team> teams) {
+
+  /**
+   * A machine as the plan sees it.
+   *
+   * @param open whether new tasks may be sent to it now
+   * @param images images that it holds
+   * @param coming images that it is fetching
+   * @param queuedGb bytes that it still has to fetch
+   * @param fetchGbPerS predicted bandwidth
+   * @param slowness predicted run time over estimate
+   */
+  public record MachineState(
+      String name,
+      MachineType type,
+      String zone,
+      boolean spot,
+      long session,
+      boolean open,
+      Set<String> images,
+      Set<String> coming,
+      double queuedGb,
+      double fetchGbPerS,
+      double slowness) {}
+
+  /**
+   * A job as the plan sees it: its record with all proofs taken in.
+   *
+   * @param waiting whether its unplaced tasks may be placed by this pass
+   * @param avoid machines where it lately failed or was refused
+   */
+  public record JobState(String id, JobRecord record, boolean waiting, Set<String> avoid) {}
+}
--- /dev/null
+++ b/src/main/java/io/tansystack/store/StoreClient.java
@@ -0,0 +1,250 @@
+package io.tansystack.store;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.http.HttpCaller;
+import io.tansystack.http.Loop;
+import io.tansystack.wire.BadInput;
+import io.tansystack.wire.Cbor;
+import io.tansystack.wire.StoreWire;
+import io.tansystack.wire.StoreWire.Change;
+import io.tansystack.wire.StoreWire.Condition;
+import io.tansystack.wire.StoreWire.Write;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The state service's client. Every callback runs on the loop. */
+public final class StoreClient {
+  private static final Logger log = LoggerFactory.getLogger(StoreClient.class);
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+  private static final int MAX_QUEUED = 64;
+
+  /** What is known of a transaction. */
+  public enum Result {
+    /** Applied, at the revision given with it. */
+    DONE,
+    /** A condition did not hold; nothing was changed. */
+    CONFLICT,
+    /** Not executed: refused, overloaded, or an outage. */
+    REFUSED,
+    /** The lease of a write has ended. */
+    NO_LEASE,
+    /** No answer: it may have been applied, or may still be. */
+    UNKNOWN
+  }
+
+  /** Receives the outcome of a transaction. */
+  public interface Committed {
+    void done(Result result, long revision);
+  }
+
+  /** Receives a strong read: {@code change} is null where the key does not exist. */
+  public interface Got {
+    void value(Change change);
+
+    void failed();
+  }
+
+  private record Queued(List<Condition> conditions, List<Write> writes, Duration until, Committed then) {}
+
+  private final HttpCaller caller;
+  private final Loop loop;
+  private final InetSocketAddress address;
+  private final WriteBudget budget;
+  private final Random random;
+  private final ArrayDeque<Queued> urgent = new ArrayDeque<>();
+  private boolean draining;
+  private Duration lastSuccess;
+
+  public StoreClient(
+      HttpCaller caller, Loop loop, InetSocketAddress address, WriteBudget budget, Random random) {
+    this.caller = caller;
+    this.loop = loop;
+    this.address = address;
+    this.budget = budget;
+    this.random = random;
+    this.lastSuccess = loop.now();
+  }
+
+  /** When the service last carried out something for this controller. */
+  public Duration lastSuccess() {
+    return lastSuccess;
+  }
+
+  /** A strong read of one key. */
+  public void get(String key, Got got) {
+    request(
+        "GET",
+        StoreWire.keyPath(key),
+        null,
+        TIMEOUT,
+        (status, map) -> {
+          if (status == 404) {
+            got.value(null);
+            return;
+          }
+          try {
+            if (status == 200) {
+              got.value(StoreWire.readKey(map));
+              return;
+            }
+          } catch (BadInput e) {
+            log.warn("state service: unreadable answer for {}: {}", key, e.getMessage());
+          }
+          got.failed();
+        });
+  }
+
+  /**
+   * A transaction that can't wait for its turn among others: it is queued for at most {@code wait}
+   * if the budget is used up, and refused when the queue is full.
+   */
+  public void commitUrgent(
+      List<Condition> conditions, List<Write> writes, Duration wait, Committed then) {
+    if (urgent.size() >= MAX_QUEUED) {
+      then.done(Result.REFUSED, 0);
+      return;
+    }
+    urgent.add(new Queued(conditions, writes, loop.now().plus(wait), then));
+    drain();
+  }
+
+  private void drain() {
+    Duration now = loop.now();
+    while (!urgent.isEmpty()) {
+      Queued head = urgent.peek();
+      if (now.compareTo(head.until) > 0) {
+        urgent.poll();
+        head.then.done(Result.REFUSED, 0);
+      } else if (budget.take(head.writes.size(), true, now)) {
+        urgent.poll();
+        send(head.conditions, head.writes, head.then);
+      } else {
+        break;
+      }
+    }
+    if (!urgent.isEmpty() && !draining) {
+      draining = true;
+      loop.after(
+          Duration.ofMillis(25),
+          () -> {
+            draining = false;
+            drain();
+          });
+    }
+  }
+
+  /** Whether an ordinary transaction of so many writes may be sent now; takes its share if so. */
+  public boolean reserve(int writes) {
+    return urgent.isEmpty() && budget.take(writes, false, loop.now());
+  }
+
+  /** Sends a transaction whose share was reserved. */
+  public void commitReserved(List<Condition> conditions, List<Write> writes, Committed then) {
+    send(conditions, writes, then);
+  }
+
+  private void send(List<Condition> conditions, List<Write> writes, Committed then) {
+    request(
+        "POST",
+        "/commit",
+        StoreWire.txn(conditions, writes),
+        TIMEOUT,
+        (status, map) -> {
+          switch (status) {
+            case 200 -> {
+              try {
+                then.done(Result.DONE, StoreWire.readRevision(map));
+              } catch (BadInput e) {
+                then.done(Result.UNKNOWN, 0);
+              }
+            }
+            case 409 -> then.done(Result.CONFLICT, 0);
+            case 400 -> {
+              String error = map == null ? "" : map.path("error").asText();
+              if (error.equals("no such lease")) {
+                then.done(Result.NO_LEASE, 0);
+              } else {
+                log.error("state service refused a transaction as malformed: {}", map);
+                then.done(Result.REFUSED, 0);
+              }
+            }
+            case 429 -> {
+              budget.refused(loop.now(), Duration.ofMillis(100 + random.nextInt(200)));
+              log.debug("state service: 429 for a transaction of {} writes", writes.size());
+              then.done(Result.REFUSED, 0);
+            }
+            case 503 -> then.done(Result.REFUSED, 0);
+            default -> then.done(Result.UNKNOWN, 0);
+          }
+        });
+  }
+
+  public void grant(Duration life, Consumer<Long> then) {
+    request(
+        "POST",
+        "/grants",
+        StoreWire.grant(life.toMillis()),
+        TIMEOUT,
+        (status, map) -> {
+          try {
+            then.accept(status == 200 ? StoreWire.readGrant(map) : null);
+          } catch (BadInput e) {
+            then.accept(null);
+          }
+        });
+  }
+
+  /** Renews a lease; tells the answer's status, 0 for none. */
+  public void renew(long lease, Consumer<Integer> then) {
+    request(
+        "POST",
+        StoreWire.renewPath(lease),
+        Cbor.encode(Cbor.map()),
+        TIMEOUT,
+        (status, map) -> then.accept(status));
+  }
+
+  /** An answer's status and, if it could be read, its body. Status 0 stands for no answer. */
+  interface Answer {
+    void take(int status, ObjectNode body);
+  }
+
+  void request(String method, String path, byte[] body, Duration timeout, Answer then) {
+    caller.call(
+        address,
+        method,
+        path,
+        body,
+        timeout,
+        new HttpCaller.Outcome() {
+          @Override
+          public void answer(int status, byte[] answer) {
+            ObjectNode map = null;
+            try {
+              map = Cbor.decodeMap(answer);
+            } catch (BadInput e) {
+              if (status == 200) {
+                log.warn("state service: unreadable answer: {}", e.getMessage());
+                then.take(0, null);
+                return;
+              }
+            }
+            if (status == 200 || status == 404 || status == 409) {
+              lastSuccess = loop.now();
+            }
+            then.take(status, map);
+          }
+
+          @Override
+          public void silence(boolean refused) {
+            then.take(refused ? 503 : 0, null);
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/io/tansystack/store/Watcher.java
@@ -0,0 +1,132 @@
+package io.tansystack.store;
+
+import io.tansystack.http.Loop;
+import io.tansystack.wire.BadInput;
+import io.tansystack.wire.StoreWire;
+import io.tansystack.wire.StoreWire.Change;
+import io.tansystack.wire.StoreWire.Changes;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps a copy of everything under one prefix by one ordered stream: first all pages, then one watch
+ * after the other. Because there is one stream, whoever has seen a change has seen all that came
+ * before it; the safety of launches and of {@code forget} rests on that.
+ */
+public final class Watcher {
+  private static final Logger log = LoggerFactory.getLogger(Watcher.class);
+  private static final Duration HOLD = Duration.ofMillis(1500);
+  private static final Duration PAGE_TIMEOUT = Duration.ofSeconds(4);
+  private static final Duration RETRY = Duration.ofMillis(250);
+
+  /** Receives the stream. */
+  public interface Listener {
+    /** Everything as of a revision; replaces all that was known. */
+    void snapshot(List<Change> all, long revision);
+
+    /** The next changes, in order. */
+    void changes(List<Change> changes, long revision);
+  }
+
+  private final StoreClient store;
+  private final Loop loop;
+  private final String prefix;
+  private final Duration spacing;
+  private final Listener listener;
+  private Duration syncedAt;
+  private long revision;
+
+  public Watcher(
+      StoreClient store, Loop loop, String prefix, Duration spacing, Listener listener) {
+    this.store = store;
+    this.loop = loop;
+    this.prefix = prefix;
+    this.spacing = spacing;
+    this.listener = listener;
+  }
+
+  public void start() {
+    load(new ArrayList<>(), "", -1, loop.now());
+  }
+
+  /** The copy holds at least all that was committed before this moment; null before the first load. */
+  public Duration syncedAt() {
+    return syncedAt;
+  }
+
+  public long revision() {
+    return revision;
+  }
+
+  /**
+   * Pages are read one after the other, so later ones may be newer; the watch starts at the first
+   * page's revision, and versions keep the changes that come twice from doing harm.
+   */
+  private void load(List<Change> all, String after, long firstRevision, Duration startedAt) {
+    store.request(
+        "GET",
+        StoreWire.listPath(prefix, after),
+        null,
+        PAGE_TIMEOUT,
+        (status, map) -> {
+          try {
+            if (status == 200) {
+              Changes page = StoreWire.readList(map);
+              all.addAll(page.changes());
+              long first = firstRevision < 0 ? page.revision() : firstRevision;
+              if (page.more() && !page.changes().isEmpty()) {
+                load(all, page.changes().get(page.changes().size() - 1).key(), first, startedAt);
+                return;
+              }
+              revision = first;
+              syncedAt = startedAt;
+              listener.snapshot(all, first);
+              watch();
+              return;
+            }
+          } catch (BadInput e) {
+            log.warn("state service: unreadable list: {}", e.getMessage());
+          }
+          loop.after(RETRY, this::start);
+        });
+  }
+
+  private void watch() {
+    Duration sentAt = loop.now();
+    store.request(
+        "GET",
+        StoreWire.watchPath(prefix, revision, HOLD.toMillis()),
+        null,
+        HOLD.plusSeconds(3),
+        (status, map) -> {
+          Duration next = RETRY;
+          if (status == 410) {
+            log.info("watch: revision {} is too old, reading everything again", revision);
+            start();
+            return;
+          }
+          try {
+            if (status == 200) {
+              Changes changes = StoreWire.readWatch(map);
+              syncedAt = sentAt;
+              revision = Math.max(revision, changes.revision());
+              listener.changes(changes.changes(), revision);
+              next = spacing.minus(loop.now().minus(sentAt));
+            }
+          } catch (BadInput e) {
+            // Nothing may be skipped: what can't be read is read again as a whole.
+            log.warn("state service: unreadable watch: {}", e.getMessage());
+            loop.after(RETRY, this::start);
+            return;
+          }
+          if (next.isNegative() || next.isZero()) {
+            watch();
+          } else {
+            loop.after(next, this::watch);
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/io/tansystack/store/WriteBudget.java
@@ -0,0 +1,49 @@
+package io.tansystack.store;
+
+import java.time.Duration;
+
+/**
+ * This controller's part of the state service's write limit, as a token bucket. Urgent writes
+ * (submissions, cancellations, claims) may empty it; others leave a reserve for them.
+ */
+public final class WriteBudget {
+  private final double perSecond;
+  private final double burst;
+  private final double reserve;
+  private double level;
+  private Duration at;
+  private Duration blockedUntil = Duration.ZERO;
+
+  public WriteBudget(double perSecond, double burst, Duration now) {
+    this.perSecond = perSecond;
+    this.burst = burst;
+    this.reserve = Math.min(burst / 3, 4);
+    this.level = burst;
+    this.at = now;
+  }
+
+  private void refill(Duration now) {
+    double seconds = now.minus(at).toNanos() / 1e9;
+    if (seconds > 0) {
+      level = Math.min(burst, level + seconds * perSecond);
+      at = now;
+    }
+  }
+
+  /** Takes tokens for the writes of one transaction, or nothing at all. */
+  public boolean take(int writes, boolean urgent, Duration now) {
+    refill(now);
+    if (now.compareTo(blockedUntil) < 0 || level < (urgent ? 1 : 1 + reserve)) {
+      return false;
+    }
+    level -= writes;
+    return true;
+  }
+
+  /** The service said 429: others are using its limit, so this controller pauses. */
+  public void refused(Duration now, Duration pause) {
+    refill(now);
+    level = Math.min(level, 0);
+    blockedUntil = now.plus(pause);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -0,0 +1,675 @@
+package io.tansystack.workers;
+
+import io.tansystack.cluster.OwnLease;
+import io.tansystack.cluster.World;
+import io.tansystack.cluster.World.Job;
+import io.tansystack.cluster.World.MachineRecord;
+import io.tansystack.cluster.World.Placed;
+import io.tansystack.http.HttpCaller;
+import io.tansystack.http.HttpServer.Reply;
+import io.tansystack.http.Loop;
+import io.tansystack.jobs.Placement;
+import io.tansystack.schedule.MachineHistory;
+import io.tansystack.store.StoreClient;
+import io.tansystack.store.StoreClient.Result;
+import io.tansystack.wire.Answers;
+import io.tansystack.wire.BadInput;
+import io.tansystack.wire.Cbor;
+import io.tansystack.wire.Command;
+import io.tansystack.wire.JobSpec;
+import io.tansystack.wire.MachineType;
+import io.tansystack.wire.Report;
+import io.tansystack.wire.StoreWire.Condition;
+import io.tansystack.wire.StoreWire.Write;
+import io.tansystack.wire.TaskId;
+import io.tansystack.wire.TaskReport;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The owner's side of the machines: claims, answers to reports, and commands.
+ *
+ * <p>A machine's token is the version of its record, so every claim has a higher one. Commands go out
+ * by {@code /orders} alone, one request at a time for each machine, and only while the newest report
+ * shows the current token: then every command sent under an earlier one is void. What to send follows
+ * from the records and that report; nothing needs to be remembered of what was sent before. A request
+ * without an answer may still arrive, so it is followed by a new claim, whose token makes it void.
+ */
+public final class WorkerDesk {
+  private static final Logger log = LoggerFactory.getLogger(WorkerDesk.class);
+  private static final Duration ORDERS_TIMEOUT = Duration.ofSeconds(4);
+  private static final Duration CLAIM_WAIT = Duration.ofMillis(3500);
+  private static final Duration HALT_AGAIN = Duration.ofSeconds(5);
+  private static final Duration COMES_BACK = Duration.ofSeconds(20);
+  private static final int MAX_COMMANDS = 300;
+  private static final int MAX_SENT_AWAY = 10_000;
+
+  private static final class Machine {
+    final String name;
+    final MachineHistory history;
+    Report latest;
+    InetSocketAddress address;
+
+    /** Receipt of the last report that was answered with 200. */
+    Duration answeredAt;
+
+    /** Until then a former owner may have answered, as long as the worker hasn't shown our token. */
+    Duration formerOwnerUntil = Duration.ZERO;
+
+    boolean ordersInFlight;
+    long doubtfulToken = -1;
+    boolean claiming;
+    int failures;
+    Duration quietUntil = Duration.ZERO;
+    final Map<String, Duration> halted = new HashMap<>();
+    View published;
+    Duration publishedAt = Duration.ZERO;
+
+    Machine(String name, MachineHistory history, Duration now) {
+      this.name = name;
+      this.history = history;
+      this.answeredAt = now;
+    }
+  }
+
+  private record Claiming(Report report, Reply reply, Duration until) {}
+
+  private record SentAway(int times, Duration at) {}
+
+  private final Loop loop;
+  private final StoreClient store;
+  private final HttpCaller caller;
+  private final World world;
+  private final OwnLease lease;
+  private final String label;
+  private final String boot;
+  private final String zone;
+  private final Duration workerLease;
+  private final Predicate<String> looksDown;
+  private final Function<String, MachineType> types;
+  private final Function<String, View> views;
+  private final Consumer<View> publish;
+  private final Map<String, Machine> machines = new LinkedHashMap<>();
+  private final Map<String, List<Claiming>> claims = new HashMap<>();
+  private final Map<String, SentAway> sentAway = new HashMap<>();
+
+  public WorkerDesk(
+      Loop loop,
+      StoreClient store,
+      HttpCaller caller,
+      World world,
+      OwnLease lease,
+      String label,
+      String boot,
+      String zone,
+      Duration workerLease,
+      Predicate<String> looksDown,
+      Function<String, MachineType> types,
+      Function<String, View> views,
+      Consumer<View> publish) {
+    this.loop = loop;
+    this.store = store;
+    this.caller = caller;
+    this.world = world;
+    this.lease = lease;
+    this.label = label;
+    this.boot = boot;
+    this.zone = zone;
+    this.workerLease = workerLease;
+    this.looksDown = looksDown;
+    this.types = types;
+    this.views = views;
+    this.publish = publish;
+  }
+
+  private boolean mine(MachineRecord record) {
+    return record != null && record.owner().equals(label) && record.boot().equals(boot);
+  }
+
+  /** Serves {@code POST /v1/report}. */
+  public void report(byte[] body, Reply reply) {
+    Report report;
+    try {
+      report = Report.read(Cbor.decodeMap(body));
+    } catch (BadInput e) {
+      log.warn("unreadable report: {}", e.getMessage());
+      reply.send(400, Cbor.encode(Answers.error(e.getMessage())));
+      return;
+    }
+    if (!lease.valid()) {
+      reply.send(503, Cbor.encode(Answers.error("not entitled to act now")));
+      return;
+    }
+    MachineRecord record = world.machine(report.machine());
+    if (mine(record)) {
+      accept(record, report, reply);
+    } else {
+      claimOrRedirect(record, report, reply);
+    }
+  }
+
+  private void accept(MachineRecord record, Report report, Reply reply) {
+    if (report.token() > record.version()) {
+      // Somebody has claimed it since; our copy of the records is about to say so.
+      reply.send(503, Cbor.encode(Answers.error("a later claim exists")));
+      return;
+    }
+    Duration now = loop.now();
+    Machine machine = machine(record, now);
+    machine.answeredAt = now;
+    reply.send(200, Cbor.encode(Answers.report(record.version())));
+    take(machine, report);
+    tend(machine);
+  }
+
+  private Machine machine(MachineRecord record, Duration now) {
+    return machines.computeIfAbsent(
+        record.name(),
+        name -> {
+          MachineType type = types.apply(record.type());
+          MachineHistory history = new MachineHistory(type == null ? 50 : type.cacheGb());
+          View old = views.apply(name);
+          if (old != null) {
+            history.inherit(old.images(), old.fetchGbPerS());
+          }
+          Machine machine = new Machine(name, history, now);
+          machine.formerOwnerUntil = now.plus(lease.life());
+          return machine;
+        });
+  }
+
+  /** Takes in a report unless a newer one is known; reports may arrive minutes late. */
+  private void take(Machine machine, Report report) {
+    if (machine.latest != null && !report.newerThan(machine.latest)) {
+      return;
+    }
+    machine.latest = report;
+    machine.address = address(report.address());
+    machine.history.observe(report, loop.now(), this::spec);
+  }
+
+  private JobSpec spec(String job) {
+    Job known = world.job(job);
+    return known == null ? null : known.record().spec();
+  }
+
+  private static InetSocketAddress address(String text) {
+    int colon = text.lastIndexOf(':');
+    try {
+      String host = text.substring(0, Math.max(0, colon));
+      return host.matches("[0-9.]+")
+          ? new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)))
+          : null;
+    } catch (IllegalArgumentException e) {
+      return null;
+    }
+  }
+
+  /**
+   * A worker that is not ours: it is sent to its owner if that one lives and is no worse for its
+   * zone, and claimed if there is none or if it keeps coming although it was sent away.
+   */
+  private void claimOrRedirect(MachineRecord record, Report report, Reply reply) {
+    Duration now = loop.now();
+    boolean ownerLives =
+        record != null
+            && world.alive(record.owner(), record.boot())
+            && !looksDown.test(record.owner());
+    String to = null;
+    if (ownerLives && !record.owner().equals(label)) {
+      boolean ownerNear = inZone(record.owner(), report.zone());
+      if (ownerNear || !zone.equals(report.zone())) {
+        to = record.owner();
+      }
+    } else if (!zone.equals(report.zone())) {
+      to = nearController(report.zone());
+    }
+    if (to != null) {
+      SentAway before = sentAway.get(report.machine());
+      boolean recent = before != null && now.minus(before.at).compareTo(COMES_BACK) < 0;
+      int times = recent ? before.times + 1 : 1;
+      if (times <= 2) {
+        if (sentAway.size() >= MAX_SENT_AWAY) {
+          sentAway.clear();
+        }
+        sentAway.put(report.machine(), new SentAway(times, now));
+        reply.send(421, Cbor.encode(Answers.redirect(to)));
+        return;
+      }
+    }
+    sentAway.remove(report.machine());
+    claim(record, report, reply);
+  }
+
+  private boolean inZone(String controller, String wanted) {
+    World.ControllerRecord record = world.controllers().get(controller);
+    return record != null && record.zone().equals(wanted);
+  }
+
+  private String nearController(String wanted) {
+    for (Map.Entry<String, World.ControllerRecord> entry : world.controllers().entrySet()) {
+      if (entry.getValue().zone().equals(wanted)
+          && !entry.getKey().equals(label)
+          && !looksDown.test(entry.getKey())) {
+        return entry.getKey();
+      }
+    }
+    return null;
+  }
+
+  private void claim(MachineRecord before, Report report, Reply reply) {
+    List<Claiming> waiting = claims.computeIfAbsent(report.machine(), k -> new ArrayList<>());
+    waiting.add(new Claiming(report, reply, loop.now().plus(CLAIM_WAIT)));
+    if (waiting.size() > 1) {
+      return;
+    }
+    MachineRecord next =
+        new MachineRecord(
+            report.machine(),
+            label,
+            boot,
+            report.address(),
+            report.type(),
+            report.zone(),
+            report.spot(),
+            before != null && before.drain(),
+            0);
+    write(
+        before,
+        next,
+        "report of session " + report.session() + " token " + report.token(),
+        result -> {
+          if (result != Result.DONE) {
+            dropClaims(report.machine());
+          }
+        });
+  }
+
+  private void dropClaims(String name) {
+    List<Claiming> waiting = claims.remove(name);
+    if (waiting != null) {
+      waiting.forEach(
+          c -> c.reply.send(503, Cbor.encode(Answers.error("the claim did not succeed"))));
+    }
+  }
+
+  private void write(
+      MachineRecord before, MachineRecord next, String why, Consumer<Result> then) {
+    String key = World.machineKey(next.name());
+    store.commitUrgent(
+        List.of(new Condition(key, before == null ? 0 : before.version())),
+        List.of(new Write(key, next.write(), 0)),
+        Duration.ofSeconds(2),
+        (result, revision) -> {
+          if (result == Result.DONE) {
+            log.info(
+                "claim machine={} token={} former={} because={}",
+                next.name(),
+                revision,
+                before == null ? "none" : before.owner() + "@" + before.version(),
+                why);
+          } else {
+            log.info("claim failed machine={} result={} because={}", next.name(), result, why);
+          }
+          then.accept(result);
+        });
+  }
+
+  /** The records have changed: claims may have come true, and commands may follow. */
+  public void worldChanged() {
+    for (String name : List.copyOf(claims.keySet())) {
+      MachineRecord record = world.machine(name);
+      if (mine(record)) {
+        List<Claiming> waiting = claims.remove(name);
+        waiting.forEach(c -> accept(record, c.report, c.reply));
+      }
+    }
+    // Ours by a claim whose answer was lost, or adopted: its silence has to be timed too.
+    for (MachineRecord record : world.machines().values()) {
+      if (mine(record)) {
+        machine(record, loop.now());
+      }
+    }
+    for (Machine machine : List.copyOf(machines.values())) {
+      tend(machine);
+    }
+  }
+
+  /** Once a second or so: what is due by time alone. */
+  public void tick() {
+    Duration now = loop.now();
+    for (String name : List.copyOf(claims.keySet())) {
+      List<Claiming> waiting = claims.get(name);
+      if (!waiting.isEmpty() && now.compareTo(waiting.get(0).until) > 0) {
+        dropClaims(name);
+      }
+    }
+    for (Machine machine : List.copyOf(machines.values())) {
+      tend(machine);
+      declareGone(machine);
+    }
+  }
+
+  /** Takes over a machine whose owner has ended and that reports to nobody. */
+  public void adopt(MachineRecord orphan) {
+    if (claims.containsKey(orphan.name())) {
+      return;
+    }
+    MachineRecord next =
+        new MachineRecord(
+            orphan.name(),
+            label,
+            boot,
+            orphan.address(),
+            orphan.type(),
+            orphan.zone(),
+            orphan.spot(),
+            orphan.drain(),
+            0);
+    write(
+        orphan,
+        next,
+        "its owner has ended and it reports to nobody",
+        result -> {});
+  }
+
+  /** How long a machine of ours has been silent; null if it is not ours. */
+  public Duration silentFor(String name) {
+    Machine machine = machines.get(name);
+    return machine == null ? null : loop.now().minus(machine.answeredAt);
+  }
+
+  /**
+   * The worker's lease has run out for certain: it counts from when the last answered report was
+   * sent, which was before we received it. Until a worker has shown our token, its former owner may
+   * have gone on answering for as long as that one could be valid.
+   */
+  private void declareGone(Machine machine) {
+    MachineRecord record = world.machine(machine.name);
+    if (!mine(record) || !lease.valid() || machine.claiming) {
+      return;
+    }
+    boolean shown = machine.latest != null && machine.latest.token() >= record.version();
+    Duration from = machine.answeredAt;
+    if (!shown && machine.formerOwnerUntil.compareTo(from) > 0) {
+      from = machine.formerOwnerUntil;
+    }
+    Duration sure = from.plus(workerLease).plus(workerLease.dividedBy(500)).plusSeconds(1);
+    if (loop.now().compareTo(sure) < 0) {
+      return;
+    }
+    machine.claiming = true;
+    String key = World.machineKey(machine.name);
+    store.commitUrgent(
+        List.of(new Condition(key, record.version())),
+        List.of(new Write(key, null, 0)),
+        Duration.ofSeconds(2),
+        (result, revision) -> {
+          machine.claiming = false;
+          if (result == Result.DONE) {
+            log.warn(
+                "gone machine={} token={} because=its lease has run out unanswered",
+                machine.name,
+                record.version());
+          }
+        });
+  }
+
+  /** Sends what the machine lacks, and tells the others what is new. */
+  private void tend(Machine machine) {
+    MachineRecord record = world.machine(machine.name);
+    if (!mine(record)) {
+      machines.remove(machine.name);
+      return;
+    }
+    Report latest = machine.latest;
+    if (latest == null || !lease.valid()) {
+      return;
+    }
+    Duration now = loop.now();
+    if (machine.doubtfulToken == record.version()) {
+      if (!machine.claiming && now.compareTo(machine.quietUntil) >= 0) {
+        reclaim(machine, record);
+      }
+      tell(machine, record, List.of(), now);
+      return;
+    }
+    boolean shown = latest.token() == record.version();
+    boolean quiet = !machine.ordersInFlight;
+    tell(machine, record, shown && quiet ? voids(machine, latest) : List.of(), now);
+    if (!shown || !quiet || machine.address == null || now.compareTo(machine.quietUntil) < 0) {
+      return;
+    }
+    List<Command> commands = wanted(machine, latest, now);
+    if (!commands.isEmpty()) {
+      send(machine, record.version(), latest.session(), commands);
+    }
+  }
+
+  private void reclaim(Machine machine, MachineRecord record) {
+    machine.claiming = true;
+    MachineRecord next =
+        new MachineRecord(
+            record.name(),
+            label,
+            boot,
+            record.address(),
+            record.type(),
+            record.zone(),
+            record.spot(),
+            record.drain(),
+            0);
+    write(
+        record,
+        next,
+        "commands without an answer under token " + record.version(),
+        result -> {
+          machine.claiming = false;
+          if (result != Result.DONE) {
+            machine.quietUntil = loop.now().plusMillis(500);
+          }
+        });
+  }
+
+  /**
+   * Unwanted attempts that are recorded but not on the machine. They will not be launched under this
+   * token: launches leave them out from the moment at which the record says that they are unwanted.
+   */
+  private List<View.Void> voids(Machine machine, Report latest) {
+    List<View.Void> voids = new ArrayList<>();
+    for (Placed placed : world.placedOn(machine.name)) {
+      Placement p = placed.placement();
+      if ((!p.stop() && placed.job().record().active()) || p.session() != latest.session()) {
+        continue;
+      }
+      String job = placed.job().id();
+      Map<String, TaskReport> listed = listed(latest);
+      p.tasks()
+          .forEach(
+              task -> {
+                if (!listed.containsKey(key(job, task, p.attempt()))) {
+                  voids.add(new View.Void(job, task, p.attempt()));
+                }
+              });
+    }
+    return voids;
+  }
+
+  private static String key(String job, int task, long attempt) {
+    return job + "/" + task + "#" + attempt;
+  }
+
+  private static Map<String, TaskReport> listed(Report report) {
+    Map<String, TaskReport> listed = new HashMap<>();
+    for (TaskReport task : report.tasks()) {
+      listed.put(key(task.task().job(), task.task().index(), task.attempt()), task);
+    }
+    return listed;
+  }
+
+  private List<Command> wanted(Machine machine, Report latest, Duration now) {
+    List<Command> commands = new ArrayList<>();
+    List<Command> halts = new ArrayList<>();
+    Map<String, TaskReport> listed = listed(latest);
+    machine.halted.keySet().retainAll(listed.keySet());
+    for (Map.Entry<String, TaskReport> entry : listed.entrySet()) {
+      TaskReport task = entry.getValue();
+      Job job = world.job(task.task().job());
+      Placement p =
+          job == null
+              ? null
+              : job.record().find(machine.name, task.attempt(), task.task().index());
+      if (task.exited()) {
+        if (p == null) {
+          // Its outcome is in the record, or nobody wants it: the report's line is no longer needed.
+          commands.add(new Command(Command.Op.FORGET, task.task(), task.attempt(), 0));
+        }
+        continue;
+      }
+      if (p != null && !p.stop() && job.record().active()) {
+        continue;
+      }
+      Duration haltedAt = machine.halted.get(entry.getKey());
+      if (haltedAt != null && now.minus(haltedAt).compareTo(HALT_AGAIN) < 0) {
+        continue;
+      }
+      boolean save =
+          p != null && job.record().active() && job.record().spec().checkpointS() > 0;
+      if (save && task.state() == TaskReport.State.SAVING) {
+        continue;
+      }
+      double grace = save ? job.record().spec().saveS() * 2 + 2 : 0;
+      machine.halted.put(entry.getKey(), now);
+      halts.add(new Command(Command.Op.STOP, task.task(), task.attempt(), grace));
+    }
+    commands.addAll(halts);
+    for (Placed placed : world.placedOn(machine.name)) {
+      Placement p = placed.placement();
+      if (p.stop()
+          || !placed.job().record().active()
+          || p.session() != latest.session()) {
+        continue;
+      }
+      String job = placed.job().id();
+      p.tasks()
+          .forEach(
+              task -> {
+                if (!listed.containsKey(key(job, task, p.attempt()))) {
+                  commands.add(
+                      new Command(Command.Op.START, new TaskId(job, task), p.attempt(), 0));
+                }
+              });
+    }
+    return commands.size() > MAX_COMMANDS ? commands.subList(0, MAX_COMMANDS) : commands;
+  }
+
+  private void send(Machine machine, long token, long session, List<Command> commands) {
+    machine.ordersInFlight = true;
+    if (log.isInfoEnabled()) {
+      for (Command c : commands) {
+        if (c.op() != Command.Op.FORGET || log.isDebugEnabled()) {
+          log.info(
+              "{} task={} attempt={} machine={} token={}",
+              c.op(),
+              c.task(),
+              c.attempt(),
+              machine.name,
+              token);
+        }
+      }
+    }
+    caller.call(
+        machine.address,
+        "POST",
+        "/orders",
+        Command.orders(token, session, commands),
+        ORDERS_TIMEOUT,
+        new HttpCaller.Outcome() {
+          @Override
+          public void answer(int status, byte[] body) {
+            machine.ordersInFlight = false;
+            machine.failures = 0;
+            try {
+              if (status == 200 || status == 409) {
+                Report report = Report.read(Cbor.decodeMap(body));
+                if (report.machine().equals(machine.name)) {
+                  take(machine, report);
+                }
+              } else {
+                log.warn("machine={} answered commands with {}", machine.name, status);
+                machine.quietUntil = loop.now().plusSeconds(1);
+              }
+            } catch (BadInput e) {
+              log.warn("machine={} sent an unreadable answer: {}", machine.name, e.getMessage());
+              machine.doubtfulToken = token;
+            }
+            if (status == 409) {
+              machine.quietUntil = loop.now().plusMillis(300);
+            }
+            if (machines.get(machine.name) == machine) {
+              tend(machine);
+            }
+          }
+
+          @Override
+          public void silence(boolean refused) {
+            machine.ordersInFlight = false;
+            machine.halted.clear();
+            machine.failures = Math.min(machine.failures + 1, 4);
+            machine.quietUntil = loop.now().plusMillis(500L << machine.failures);
+            if (!refused) {
+              // They may still be carried out at any later time: only a higher token stops that.
+              machine.doubtfulToken = token;
+              log.info(
+                  "no answer to {} commands machine={} token={}",
+                  commands.size(),
+                  machine.name,
+                  token);
+            }
+          }
+        });
+  }
+
+  private void tell(
+      Machine machine, MachineRecord record, List<View.Void> voids, Duration now) {
+    View old = machine.published;
+    boolean news =
+        old == null
+            || old.token() != record.version()
+            || old.report().session() != machine.latest.session()
+            || old.report().token() != machine.latest.token()
+            || !old.report().tasks().equals(machine.latest.tasks())
+            || (old.report().noticeS() == null) != (machine.latest.noticeS() == null)
+            || !old.voids().equals(voids);
+    if (!news && now.minus(machine.publishedAt).compareTo(Duration.ofSeconds(3)) < 0) {
+      return;
+    }
+    View view =
+        new View(
+            machine.latest,
+            record.version(),
+            voids,
+            machine.history.images(),
+            machine.history.fetchGbPerS(),
+            machine.history.slowness(),
+            Math.max(0, now.minus(machine.answeredAt).toMillis()));
+    machine.published = view;
+    machine.publishedAt = now;
+    publish.accept(view);
+  }
+
+  public Collection<String> owned() {
+    return List.copyOf(machines.keySet());
+  }
+}
--- /dev/null
+++ b/src/test/java/io/tansystack/jobs/JobRecordTest.java
@@ -0,0 +1,106 @@
+package io.tansystack.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.tansystack.jobs.JobRecord.Assignment;
+import io.tansystack.jobs.JobRecord.Over;
+import io.tansystack.jobs.JobRecord.Phase;
+import io.tansystack.wire.Answers.JobState;
+import io.tansystack.wire.Cbor;
+import io.tansystack.wire.JobSpec;
+import io.tansystack.wire.Priority;
+import io.tansystack.wire.Shape;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class JobRecordTest {
+  static JobSpec spec(Shape shape, int tasks) {
+    return new JobSpec(
+        "wk-000001", "c", "t", shape, Priority.LOW, tasks, 1, 0, 1, "i", 1, null, null, false,
+        false, true, 10, 0, 0, null);
+  }
+
+  private static JobRecord placed(Shape shape, int tasks) {
+    return JobRecord.created(spec(shape, tasks), 5)
+        .placed(List.of(new Assignment("n-1", 1, TaskSet.range(0, tasks))));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"'',0,0", "'3',1,0", "'0-5,7',7,6", "'0,2,4-5',4,1"})
+  void taskSetsKeepTheirWrittenForm(String text, int size, int firstMissing) {
+    TaskSet set = TaskSet.parse(text);
+    assertEquals(text, set.toString());
+    assertEquals(size, set.size());
+    assertEquals(firstMissing, set.firstMissing());
+  }
+
+  /** A proof counts only for the very attempt on the very machine; anything near it changes nothing. */
+  @ParameterizedTest
+  @CsvSource({
+    "0,1,n-1,true,true",
+    "0,1,n-1,false,true",
+    "0,2,n-1,true,false",
+    "0,0,n-1,true,false",
+    "0,1,n-2,true,false",
+    "9,1,n-1,true,false"
+  })
+  void onlyExactProofsCount(int task, long attempt, String machine, boolean done, boolean counts) {
+    JobRecord before = placed(Shape.ARRAY, 3);
+    JobRecord after = before.absorbed(List.of(new Over(task, attempt, machine, done)));
+    if (!counts) {
+      assertSame(before, after);
+      return;
+    }
+    assertNull(after.find(machine, attempt, task));
+    assertEquals(done, after.done().contains(task));
+    assertEquals(done ? 0 : 1, after.unplaced().size());
+  }
+
+  @Test
+  void doneOnlyWithItsLastTask() {
+    JobRecord record = placed(Shape.ARRAY, 2).absorbed(List.of(new Over(0, 1, "n-1", true)));
+    assertEquals(Phase.ACTIVE, record.phase());
+    record = record.absorbed(List.of(new Over(1, 1, "n-1", true)));
+    assertEquals(JobState.DONE, record.state());
+    assertNull(record.spec(), "a job that is over keeps its outcome alone");
+  }
+
+  @Test
+  void cancelledStaysCancelledAndKeepsPlacementsUntilProof() {
+    JobRecord record = placed(Shape.ARRAY, 1).cancelled();
+    assertEquals(1, record.placedCount());
+    record = record.absorbed(List.of(new Over(0, 1, "n-1", true)));
+    assertEquals(JobState.CANCELLED, record.state());
+    assertNull(record.spec());
+  }
+
+  @Test
+  void aServiceTaskThatEndsIsOnlyUnplaced() {
+    JobRecord record = placed(Shape.SERVICE, 1).absorbed(List.of(new Over(0, 1, "n-1", true)));
+    assertEquals(JobState.PENDING, record.state());
+    assertEquals(1, record.unplaced().size());
+  }
+
+  @Test
+  void aGangThatLosesATaskIsStoppedAsAWhole() {
+    JobRecord record = placed(Shape.GANG, 3).absorbed(List.of(new Over(1, 1, "n-1", false)));
+    assertEquals(2, record.placedCount());
+    assertTrue(record.placements().stream().allMatch(Placement::stop));
+    JobRecord done = placed(Shape.GANG, 3).absorbed(List.of(new Over(1, 1, "n-1", true)));
+    assertEquals(Phase.DONE, done.phase(), "they complete together");
+  }
+
+  @Test
+  void recordsReadBackAsWritten() throws Exception {
+    for (Shape shape : Shape.values()) {
+      JobRecord record = placed(shape, 4).stopped("n-1", TaskSet.parse("1-2"));
+      byte[] stored = Cbor.encode(record.write());
+      assertEquals(record, JobRecord.read(Cbor.decodeMap(stored)));
+    }
+  }
+}
