--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -1,5 +1,6 @@
 package io.tansystack.cli;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.cluster.OwnLease;
 import io.tansystack.cluster.PeerLink;
 import io.tansystack.cluster.SlotDuty;
@@ -11,6 +12,7 @@
 import io.tansystack.http.Loop;
 import io.tansystack.jobs.JobDuty;
 import io.tansystack.jobs.UserApi;
+import io.tansystack.schedule.Snapshot.MachineState;
 import io.tansystack.settings.OperatorSettings;
 import io.tansystack.settings.PlatformSettings;
 import io.tansystack.store.StoreClient;
@@ -23,6 +25,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import org.slf4j.Logger;
@@ -33,7 +36,7 @@
   private static final Logger log = LoggerFactory.getLogger(Controller.class);
 
   /** Other controllers may need less than their part of the write limit. */
-  private static final double OVERCOMMIT = 1.6;
+  private static final double OVERCOMMIT = 1.35;
 
   private final Loop loop;
   private final PlatformSettings settings;
@@ -80,7 +83,15 @@
         OwnLease.lifeFor(settings.workers().cancel(), settings.workers().lease());
     this.lease = new OwnLease(store, loop, label, boot, settings.zone(), life, watcher);
     this.peers =
-        new PeerLink(caller, loop, label, settings.peers(), lease::valid, this::viewFromPeer);
+        new PeerLink(
+            caller,
+            loop,
+            label,
+            settings.peers(),
+            lease::valid,
+            this::viewFromPeer,
+            this::fleetNews,
+            this::heardOfFleet);
     this.slots = new SlotDuty(loop, store, world, lease, label, boot, peers::looksDown);
     this.types = new TypeDuty(loop, store, world, caller, settings);
     this.desk =
@@ -98,11 +109,13 @@
             types::get,
             views::get,
             this::viewOfOwn);
-    this.jobs = new JobDuty(loop, store, world, lease, slots, settings, views::get, types::get);
+    this.jobs =
+        new JobDuty(
+            loop, store, world, lease, slots, settings, views::get, types::get, this::booting);
     this.fleet =
         new FleetDuty(
             loop, caller, store, world, lease, slots, types, settings, operator, desk, views::get,
-            jobs::lastPlan);
+            jobs);
     this.users = new UserApi(store, world, settings, clock, types::all);
     log.info("controller {} boot {} in {}: acts for {} after it is cut off", label, boot, settings.zone(), life);
   }
@@ -135,6 +148,18 @@
     jobs.wake();
   }
 
+  private ObjectNode fleetNews() {
+    return fleet.news();
+  }
+
+  private void heardOfFleet(ObjectNode news) {
+    fleet.heard(news);
+  }
+
+  private List<MachineState> booting() {
+    return fleet.booting();
+  }
+
   private void viewOfOwn(View view) {
     keep(view);
     peers.publish(view);
--- a/src/main/java/io/tansystack/cluster/PeerLink.java
+++ b/src/main/java/io/tansystack/cluster/PeerLink.java
@@ -21,6 +21,7 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -44,6 +45,8 @@
   private final String label;
   private final BooleanSupplier valid;
   private final Consumer<View> received;
+  private final Supplier<ObjectNode> fleetNews;
+  private final Consumer<ObjectNode> fleetNewsReceived;
   private final Map<String, Link> links = new LinkedHashMap<>();
 
   private static final class Link {
@@ -67,12 +70,16 @@
       String label,
       List<Peer> peers,
       BooleanSupplier valid,
-      Consumer<View> received) {
+      Consumer<View> received,
+      Supplier<ObjectNode> fleetNews,
+      Consumer<ObjectNode> fleetNewsReceived) {
     this.caller = caller;
     this.loop = loop;
     this.label = label;
     this.valid = valid;
     this.received = received;
+    this.fleetNews = fleetNews;
+    this.fleetNewsReceived = fleetNewsReceived;
     peers.forEach(peer -> links.put(peer.label(), new Link(peer)));
   }
 
@@ -106,6 +113,10 @@
       return;
     }
     ObjectNode message = Cbor.map().put("from", label).put("valid", valid.getAsBoolean());
+    ObjectNode fleet = fleetNews.get();
+    if (fleet != null) {
+      message.set("fleet", fleet);
+    }
     ArrayNode views = message.putArray("views");
     Map<String, View> batch = new HashMap<>();
     var iterator = link.pending.entrySet().iterator();
@@ -167,6 +178,9 @@
         link.heardAt = loop.now();
         link.refusedSince = null;
       }
+      if (Read.has(message, "fleet")) {
+        fleetNewsReceived.accept(Read.map(message, "fleet"));
+      }
       for (JsonNode view : Read.list(message, "views")) {
         received.accept(View.read(Read.map(view, "views")));
       }
--- a/src/main/java/io/tansystack/fleet/FleetDuty.java
+++ b/src/main/java/io/tansystack/fleet/FleetDuty.java
@@ -1,5 +1,7 @@
 package io.tansystack.fleet;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.cluster.OwnLease;
 import io.tansystack.cluster.SlotDuty;
@@ -8,20 +10,25 @@
 import io.tansystack.cluster.World.MachineRecord;
 import io.tansystack.http.HttpCaller;
 import io.tansystack.http.Loop;
-import io.tansystack.schedule.Plan;
+import io.tansystack.jobs.JobDuty;
+import io.tansystack.schedule.Consolidation;
 import io.tansystack.schedule.RentPlanner;
 import io.tansystack.schedule.RentPlanner.Kind;
+import io.tansystack.schedule.Snapshot;
+import io.tansystack.schedule.Snapshot.MachineState;
 import io.tansystack.settings.OperatorSettings;
 import io.tansystack.settings.PlatformSettings;
 import io.tansystack.settings.PlatformSettings.Objective;
 import io.tansystack.store.StoreClient;
 import io.tansystack.store.StoreClient.Result;
 import io.tansystack.wire.BadInput;
+import io.tansystack.wire.Cbor;
 import io.tansystack.wire.CloudWire;
 import io.tansystack.wire.CloudWire.Listed;
 import io.tansystack.wire.CloudWire.Status;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.MachineType;
+import io.tansystack.wire.Priority;
 import io.tansystack.wire.StoreWire.Condition;
 import io.tansystack.wire.StoreWire.Write;
 import io.tansystack.workers.View;
@@ -37,7 +44,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
-import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -52,6 +58,9 @@
   private static final Duration LIST_EVERY = Duration.ofSeconds(2);
   private static final Duration UNCLAIMED = Duration.ofSeconds(40);
   private static final Duration ORPHANED = Duration.ofSeconds(9);
+  private static final Duration SETTLE = Duration.ofSeconds(15);
+  private static final double MAX_KEEP = 12;
+  private static final Duration NEWS_LIFE = Duration.ofSeconds(3);
   private static final int MAX_ADOPT = 4;
 
   /** More machines than this part falling silent at once speaks of us or the network, not of them. */
@@ -80,7 +89,7 @@
   private final OperatorSettings operator;
   private final WorkerDesk desk;
   private final Function<String, View> views;
-  private final Supplier<Plan> plan;
+  private final JobDuty jobs;
   private final Cloud cloud;
 
   private final Map<String, Known> known = new TreeMap<>();
@@ -98,6 +107,9 @@
   private long counter;
   private Duration listedAt = Duration.ofDays(-1);
   private boolean listed;
+  private ObjectNode heard;
+  private Duration heardAt;
+  private Duration lastBusy = Duration.ZERO;
 
   public FleetDuty(
       Loop loop,
@@ -111,7 +123,7 @@
       OperatorSettings operator,
       WorkerDesk desk,
       Function<String, View> views,
-      Supplier<Plan> plan) {
+      JobDuty jobs) {
     this.loop = loop;
     this.store = store;
     this.world = world;
@@ -122,7 +134,7 @@
     this.operator = operator;
     this.desk = desk;
     this.views = views;
-    this.plan = plan;
+    this.jobs = jobs;
     this.cloud = new Cloud(caller, loop, settings.cloud(), settings.cloudLimits().rps() * 0.9);
   }
 
@@ -158,6 +170,7 @@
     }
     adoptOrphans(now);
     judge(now);
+    consolidate(now);
     if (calling || !cloud.free()) {
       return;
     }
@@ -217,7 +230,7 @@
       }
       Duration since = idleSince.computeIfAbsent(name, n -> now);
       if (now.minus(since).compareTo(keepIdle(record)) > 0) {
-        drain(record);
+        drain(record, "idle");
       }
     }
     idleSince.keySet().retainAll(world.machines().keySet());
@@ -248,12 +261,16 @@
 
   /**
    * How long an idle machine is kept: longer where starts are expected sooner than a new machine
-   * could be up, up to twenty times.
+   * could be up, up to twelve times.
    */
   private Duration keepIdle(MachineRecord record) {
+    return Duration.ofMillis((long) (operator.idleReturn().toMillis() * keepFactor(record)));
+  }
+
+  private double keepFactor(MachineRecord record) {
     MachineType type = types.get(record.type());
     if (type == null) {
-      return operator.idleReturn();
+      return 1;
     }
     double factor = 1;
     for (Objective aim : settings.objectives()) {
@@ -263,10 +280,40 @@
       }
       if (type.fits(spec) && (type.gpus() <= 0 || spec.gpus() > 0)) {
         double within = Math.max(0.1, seconds(aim.within()));
-        factor = Math.max(factor, Math.min(20, type.bootS() / within));
+        factor = Math.max(factor, Math.min(MAX_KEEP, type.bootS() / within));
       }
     }
-    return Duration.ofMillis((long) (operator.idleReturn().toMillis() * factor));
+    return factor;
+  }
+
+  /**
+   * Empties one machine at a time whose replicas fit elsewhere. Not while work lacks room, and not
+   * where starts are due sooner than a machine boots by far: there every machine is wanted warm.
+   */
+  private void consolidate(Duration now) {
+    boolean busy = !jobs.lastPlan().unmet().isEmpty() && urgentUnmet();
+    if (busy || now.minus(heldSince).compareTo(SETTLE) < 0) {
+      lastBusy = now;
+      return;
+    }
+    if (now.minus(lastBusy).compareTo(operator.consolidateAfter()) < 0) {
+      return;
+    }
+    for (MachineRecord record : world.machines().values()) {
+      if (record.drain()) {
+        return;
+      }
+    }
+    String name = Consolidation.pick(jobs.lastSnapshot(), operator.spareReplicas());
+    MachineRecord record = name == null ? null : world.machine(name);
+    if (record != null && keepFactor(record) < MAX_KEEP) {
+      drain(record, "its replicas fit elsewhere");
+      lastBusy = now;
+    }
+  }
+
+  private boolean urgentUnmet() {
+    return jobs.lastPlan().unmet().stream().anyMatch(u -> u.spec().priority() != Priority.LOW);
   }
 
   private void mark(String name, String why) {
@@ -275,7 +322,7 @@
     }
   }
 
-  private void drain(MachineRecord record) {
+  private void drain(MachineRecord record, String why) {
     if (!draining.add(record.name())) {
       return;
     }
@@ -296,7 +343,7 @@
         List.of(new Write(key, next.write(), 0)),
         Duration.ofSeconds(1),
         (result, revision) -> {
-          log.info("drain machine={} result={} because=idle", record.name(), result);
+          log.info("drain machine={} result={} because={}", record.name(), result, why);
           if (result != Result.DONE) {
             loop.after(Duration.ofSeconds(1), () -> draining.remove(record.name()));
           }
@@ -440,8 +487,7 @@
     }
   }
 
-  /** Rents one kind of what is lacking; true if a call was made. */
-  private boolean rent(Duration now) {
+  private List<Kind> bootingKinds() {
     List<Kind> booting = new ArrayList<>();
     for (Map.Entry<String, Known> entry : known.entrySet()) {
       if (world.machine(entry.getKey()) == null
@@ -450,10 +496,56 @@
         booting.add(entry.getValue().kind);
       }
     }
+    return booting;
+  }
+
+  /** What is booting, for the other controllers; null where this one doesn't deal with the cloud. */
+  public ObjectNode news() {
+    if (heldVersion == 0 || !slots.holdsFleet()) {
+      return null;
+    }
+    ObjectNode news = Cbor.map();
+    ArrayNode list = news.putArray("booting");
+    for (Kind kind : bootingKinds()) {
+      list.addObject().put("type", kind.type()).put("zone", kind.zone()).put("spot", kind.spot());
+    }
+    return news;
+  }
+
+  /** The news of the controller that deals with the cloud. */
+  public void heard(ObjectNode news) {
+    heard = news;
+    heardAt = loop.now();
+  }
+
+  /** Machines that are booting, as far as is known here. */
+  public List<MachineState> booting() {
+    ObjectNode own = news();
+    boolean fresh = heardAt != null && loop.now().minus(heardAt).compareTo(NEWS_LIFE) < 0;
+    ObjectNode news = own != null ? own : fresh ? heard : null;
+    List<MachineState> machines = new ArrayList<>();
+    if (news != null) {
+      for (JsonNode node : news.path("booting")) {
+        MachineType type = types.get(node.path("type").asText());
+        if (type != null) {
+          machines.add(
+              Snapshot.booting(
+                  "booting-" + machines.size(),
+                  type,
+                  node.path("zone").asText(),
+                  node.path("spot").asBoolean()));
+        }
+      }
+    }
+    return machines;
+  }
+
+  /** Rents one kind of what is lacking; true if a call was made. */
+  private boolean rent(Duration now) {
     Map<Kind, Integer> wanted =
         RentPlanner.decide(
-            plan.get().unmet(),
-            booting,
+            jobs.lastPlan().unmet(),
+            bootingKinds(),
             types.byName(),
             kind -> blockedUntil.getOrDefault(kind, Duration.ZERO).compareTo(now) > 0,
             operator,
--- a/src/main/java/io/tansystack/jobs/JobDuty.java
+++ b/src/main/java/io/tansystack/jobs/JobDuty.java
@@ -36,6 +36,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -73,6 +74,7 @@
   private final PlatformSettings settings;
   private final Function<String, View> views;
   private final Function<String, MachineType> types;
+  private final Supplier<List<MachineState>> booting;
   private final Map<String, Team> teams = new HashMap<>();
   private final Map<String, Pending> pending = new HashMap<>();
   private final Map<String, Duration> lastWrite = new HashMap<>();
@@ -84,6 +86,7 @@
   private final int maxPlacementChars;
   private Duration lastPass = Duration.ZERO;
   private boolean scheduled;
+  private Snapshot snapshot = new Snapshot(List.of(), List.of(), List.of(), Map.of());
   private Plan plan = new Plan(Map.of(), Map.of(), List.of());
 
   public JobDuty(
@@ -94,7 +97,9 @@
       SlotDuty slots,
       PlatformSettings settings,
       Function<String, View> views,
-      Function<String, MachineType> types) {
+      Function<String, MachineType> types,
+      Supplier<List<MachineState>> booting) {
+    this.booting = booting;
     this.loop = loop;
     this.store = store;
     this.world = world;
@@ -115,6 +120,11 @@
     return plan;
   }
 
+  /** What the last pass looked at. */
+  public Snapshot lastSnapshot() {
+    return snapshot;
+  }
+
   /** Asks for a pass soon; many causes make one pass. */
   public void wake() {
     wake(MIN_GAP.minus(loop.now().minus(lastPass)));
@@ -158,7 +168,8 @@
     troubles.keySet().retainAll(effective.keySet());
     lastWrite.keySet().retainAll(effective.keySet());
     unabsorbed.keySet().retainAll(effective.keySet());
-    plan = Planner.plan(snapshot(effective), window, maxPlacementChars, settings.store().txnOps() * 2);
+    snapshot = snapshot(effective);
+    plan = Planner.plan(snapshot, window, maxPlacementChars, settings.store().txnOps() * 2);
     write(candidates(effective, proofs));
     absorbForeign(effective, proofs);
   }
@@ -200,7 +211,7 @@
       }
       jobs.add(new JobState(entry.getKey(), entry.getValue(), waiting, avoid));
     }
-    return new Snapshot(machines, jobs, teams);
+    return new Snapshot(machines, booting.get(), jobs, teams);
   }
 
   private MachineState state(MachineRecord record, MachineType type, View view) {
@@ -233,6 +244,7 @@
         record.spot(),
         view == null ? 0 : view.report().session(),
         open,
+        record.drain(),
         view == null ? Set.of() : view.images().keySet(),
         coming,
         queued,
@@ -285,12 +297,6 @@
             next.spec().shape() == Shape.GANG
                 ? next.allStopped()
                 : next.stopped(stop.machine(), stop.tasks());
-        log.info(
-            "preempt job={} tasks={} machine={} for={}",
-            entry.getKey(),
-            stop.tasks(),
-            stop.machine(),
-            stop.forJob());
       }
       next = stopBeforeRecall(next);
       List<JobRecord.Assignment> round = plan.placements().getOrDefault(entry.getKey(), List.of());
@@ -319,7 +325,6 @@
     for (Placement p : record.placements()) {
       View view = views.apply(p.machine());
       if (!p.stop() && view != null && view.report().noticeS() != null) {
-        log.info("stop job={} machine={} because=spot notice", record.spec().id(), p.machine());
         next =
             record.spec().shape() == Shape.GANG
                 ? next.allStopped()
@@ -403,6 +408,14 @@
     }
     lastWrite.put(id, loop.now());
     pending.put(id, new Pending(c.next, c.job.version(), 0));
+    for (Plan.Stop stop : plan.stops().getOrDefault(id, List.of())) {
+      log.info(
+          "preempt job={} tasks={} machine={} for={}",
+          id,
+          stop.tasks(),
+          stop.machine(),
+          stop.forJob());
+    }
     if (c.places && log.isInfoEnabled()) {
       log.info("place job={} attempt={} {}", id, c.next.attempt(), plan.placements().get(id).stream()
           .map(a -> a.machine() + "=" + a.tasks())
--- a/src/main/java/io/tansystack/schedule/Planner.java
+++ b/src/main/java/io/tansystack/schedule/Planner.java
@@ -31,6 +31,7 @@
  */
 public final class Planner {
   private static final double EPS = 1e-6;
+  private static final int MAX_MOVING = 6;
 
   /** A job's tasks are placed inside a moving window, so that its done set stays nearly a prefix. */
   private final int window;
@@ -50,6 +51,12 @@
   private final List<Unmet> unmet = new ArrayList<>();
   private final List<JobSpec> gpuShapes = new ArrayList<>();
 
+  /** Waiting jobs that need accelerators: machines that could take them are kept for them. */
+  private final List<JobSpec> gpuWaiting = new ArrayList<>();
+
+  /** Machines that are booting, without accelerators: worth waiting for. */
+  private final List<Room> coming = new ArrayList<>();
+
   private static final class Usage {
     double cpus;
     double gpus;
@@ -131,6 +138,11 @@
     for (MachineState machine : snapshot.machines()) {
       rooms.put(machine.name(), new Room(machine));
     }
+    for (MachineState machine : snapshot.booting()) {
+      if (machine.type().gpus() <= 0) {
+        coming.add(new Room(machine));
+      }
+    }
     for (JobState job : snapshot.jobs()) {
       count(job);
     }
@@ -147,9 +159,17 @@
     order.sort(
         Comparator.comparingInt((JobState j) -> j.record().spec().priority().ordinal())
             .thenComparing(j -> !guaranteed.contains(j.id())));
+    boolean moved = false;
     for (JobState job : order) {
+      if (!moved && job.record().spec().priority() == Priority.LOW) {
+        moveReplicas(order);
+        moved = true;
+      }
       place(job);
     }
+    if (!moved) {
+      moveReplicas(order);
+    }
     return new Plan(placements, stops, unmet);
   }
 
@@ -158,6 +178,9 @@
     JobSpec spec = job.record().spec();
     if (spec.gpus() > 0 && job.record().active()) {
       gpuShapes.add(spec);
+      if (job.record().placements().isEmpty()) {
+        gpuWaiting.add(spec);
+      }
     }
     Usage used = usage.computeIfAbsent(spec.team(), k -> new Usage());
     for (Placement p : job.record().placements()) {
@@ -284,7 +307,7 @@
     record Scored(Room room, int tier, double delivery, double slack) {}
     List<Scored> scored = new ArrayList<>();
     for (Room room : rooms.values()) {
-      if (allowed(job, room) && room.fits(spec) > 0) {
+      if (allowed(job, room) && room.fits(spec) > 0 && !keptForOthers(spec, room)) {
         scored.add(
             new Scored(
                 room, spoils(spec, room) ? 1 : 0, delivery(spec, room), room.cpus - spec.cpus()));
@@ -319,6 +342,51 @@
     return gpuShapes.isEmpty();
   }
 
+  /**
+   * Whether a waiting job needs the accelerators that the task would spoil, and no other machine is
+   * left for it. Without this the first machines to boot, often those with accelerators, fill up with
+   * replicas that stay for long while the jobs they were rented for go on waiting.
+   */
+  private boolean keptForOthers(JobSpec spec, Room room) {
+    if (gpuWaiting.isEmpty() || !spoils(spec, room)) {
+      return false;
+    }
+    for (JobSpec shape : gpuWaiting) {
+      if (room.fits(shape) == 0 || !shape.allows(room.machine.type().name(), room.machine.zone(), room.machine.spot())) {
+        continue;
+      }
+      int places = 0;
+      for (Room other : rooms.values()) {
+        if (other.machine.open()
+            && shape.allows(other.machine.type().name(), other.machine.zone(), other.machine.spot())) {
+          places += other.fits(shape);
+        }
+      }
+      if (places <= gpuWaiting.size()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Whether the task had better wait for a machine that is booting than spoil one with accelerators.
+   * Machines with accelerators often boot first; replicas that fill them then stay for long.
+   */
+  private boolean waitsForComing(JobSpec spec, Room room) {
+    if (!spoils(spec, room)) {
+      return false;
+    }
+    for (Room next : coming) {
+      MachineState m = next.machine;
+      if (spec.allows(m.type().name(), m.zone(), m.spot()) && next.fits(spec) > 0) {
+        next.take(spec, 1);
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Predicted time to delivery in seconds, in whole tenths so that noise does not decide. */
   private static double delivery(JobSpec spec, Room room) {
     MachineState m = room.machine;
@@ -364,6 +432,10 @@
     if (!byZone) {
       for (Room room : candidates) {
         while (i < tasks.size() && room.fits(spec) > 0) {
+          if (waitsForComing(spec, room)) {
+            i++;
+            continue;
+          }
           if (!chosen.containsKey(room.machine.name())) {
             chars += 60;
           }
@@ -391,6 +463,9 @@
           best = room;
         }
       }
+      if (best != null && waitsForComing(spec, best)) {
+        continue;
+      }
       chars += 66;
       if (best == null || chars > maxPlacementChars || chosen.size() >= maxMachines) {
         break;
@@ -553,6 +628,9 @@
   private boolean preemptible(JobState job, JobState victim) {
     JobSpec spec = job.record().spec();
     JobSpec other = victim.record().spec();
+    if (spec.gpus() <= 0 && other.gpus() > 0) {
+      return false; // What needs no accelerator does not take one away.
+    }
     if (other.priority().ordinal() > spec.priority().ordinal()) {
       return true;
     }
@@ -593,4 +671,113 @@
     room.soonGpus += n * s.gpus();
     room.soonMem += n * s.memGb();
   }
+
+  /**
+   * Moves replicas off machines that are to be emptied, and off one machine with accelerators for
+   * each job that waits for them in vain. A replica is stopped only when room for it is in sight, and
+   * a few at a time, so that a service never lacks more than one of its replicas on this account.
+   */
+  private void moveReplicas(List<JobState> order) {
+    Map<String, JobState> jobs = new HashMap<>();
+    order.forEach(job -> jobs.put(job.id(), job));
+    int moving = 0;
+    for (JobState job : snapshot.jobs()) {
+      if (job.record().active() && job.record().spec().shape() == Shape.SERVICE) {
+        for (Placement p : job.record().placements()) {
+          moving += p.stop() ? p.tasks().size() : 0;
+        }
+      }
+    }
+    List<Room> toEmpty = new ArrayList<>();
+    for (Room room : rooms.values()) {
+      if (room.machine.drain()) {
+        toEmpty.add(room);
+      }
+    }
+    Set<Room> chosen = new HashSet<>();
+    for (Unmet need : unmet) {
+      if (need.spec().gpus() > 0) {
+        Room best = clearable(need.spec(), chosen);
+        if (best != null && chosen.add(best)) {
+          toEmpty.add(best);
+        }
+      }
+    }
+    for (Room from : toEmpty) {
+      for (Held held : List.copyOf(from.held)) {
+        if (moving >= MAX_MOVING) {
+          return;
+        }
+        JobState job = jobs.get(held.job().id());
+        if (job != null && movable(job) && move(job, held, from, chosen)) {
+          moving++;
+        }
+      }
+    }
+  }
+
+  /** Only a service whose replicas are all in place may lend one to a move. */
+  private boolean movable(JobState job) {
+    JobRecord record = job.record();
+    return record.spec().shape() == Shape.SERVICE
+        && job.waiting()
+        && !placements.containsKey(job.id())
+        && !stops.containsKey(job.id())
+        && record.placedCount() == record.spec().tasks()
+        && record.placements().stream().noneMatch(Placement::stop);
+  }
+
+  /** The machine on which the fewest replicas stand in the way of the job. */
+  private Room clearable(JobSpec need, Set<Room> taken) {
+    Room best = null;
+    int fewest = Integer.MAX_VALUE;
+    for (Room room : rooms.values()) {
+      MachineState m = room.machine;
+      if (taken.contains(room) || !m.open() || !need.allows(m.type().name(), m.zone(), m.spot())) {
+        continue;
+      }
+      double cpus = room.cpus + room.soonCpus;
+      double gpus = room.gpus + room.soonGpus;
+      double mem = room.mem + room.soonMem;
+      int replicas = 0;
+      for (Held held : room.held) {
+        JobSpec s = held.job().record().spec();
+        int n = held.placement().tasks().size();
+        if (s.shape() == Shape.SERVICE && s.gpus() <= 0) {
+          cpus += n * s.cpus();
+          mem += n * s.memGb();
+          replicas += n;
+        }
+      }
+      if (Room.count(need, cpus, gpus, mem) > 0 && replicas > 0 && replicas < fewest) {
+        best = room;
+        fewest = replicas;
+      }
+    }
+    return best;
+  }
+
+  private boolean move(JobState job, Held held, Room from, Set<Room> clearing) {
+    JobSpec spec = job.record().spec();
+    Object2IntOpenHashMap<String> zones = zones(job.record());
+    zones.addTo(from.machine.zone(), -1);
+    for (Room to : candidates(job)) {
+      if (to != from
+          && !clearing.contains(to)
+          && !spoils(spec, to)
+          && zones.getInt(to.machine.zone()) < spec.zoneCap()) {
+        to.take(spec, 1);
+        int task = held.placement().tasks().next(0);
+        stops
+            .computeIfAbsent(job.id(), k -> new ArrayList<>())
+            .add(
+                new Stop(
+                    from.machine.name(),
+                    TaskSet.EMPTY.with(task),
+                    "a move to " + to.machine.name()));
+        return true;
+      }
+    }
+    return false;
+  }
 }
--- a/src/main/java/io/tansystack/schedule/Snapshot.java
+++ b/src/main/java/io/tansystack/schedule/Snapshot.java
@@ -7,13 +7,28 @@
 import java.util.Map;
 import java.util.Set;
 
-/** All that a planning pass looks at. */
-public record Snapshot(List<MachineState> machines, List<JobState> jobs, Map<String, Team> teams) {
+/**
+ * All that a planning pass looks at.
+ *
+ * @param booting machines that are rented and not yet of use
+ */
+public record Snapshot(
+    List<MachineState> machines,
+    List<MachineState> booting,
+    List<JobState> jobs,
+    Map<String, Team> teams) {
+
+  /** A machine that is still booting. */
+  public static MachineState booting(String name, MachineType type, String zone, boolean spot) {
+    return new MachineState(
+        name, type, zone, spot, 0, false, false, Set.of(), Set.of(), 0, type.fetchGbPerS(), 1);
+  }
 
   /**
    * A machine as the plan sees it.
    *
    * @param open whether new tasks may be sent to it now
+   * @param drain whether it is to be emptied: its replicas move elsewhere
    * @param images images that it holds
    * @param coming images that it is fetching
    * @param queuedGb bytes that it still has to fetch
@@ -27,6 +42,7 @@
       boolean spot,
       long session,
       boolean open,
+      boolean drain,
       Set<String> images,
       Set<String> coming,
       double queuedGb,
--- a/src/main/java/io/tansystack/settings/OperatorSettings.java
+++ b/src/main/java/io/tansystack/settings/OperatorSettings.java
@@ -12,6 +12,8 @@
     Duration idleReturn,
     Duration silentDelete,
     Duration refusedPause,
+    Duration consolidateAfter,
+    int spareReplicas,
     int maxRentAtOnce) {
 
   public static OperatorSettings defaults() {
@@ -40,6 +42,8 @@
         machines.secondsOr("idle_return_s", 40, 1, 86_400),
         machines.secondsOr("silent_delete_s", 13, 5, 86_400),
         rent.secondsOr("refused_pause_s", 10, 1, 3600),
+        machines.secondsOr("consolidate_after_s", 5, 0.1, 86_400),
+        machines.integerOr("spare_replicas", 3, 0, 10_000),
         rent.integerOr("max_at_once", 12, 1, 50));
   }
 
--- a/src/main/java/io/tansystack/store/StoreClient.java
+++ b/src/main/java/io/tansystack/store/StoreClient.java
@@ -30,8 +30,10 @@
     DONE,
     /** A condition did not hold; nothing was changed. */
     CONFLICT,
-    /** Not executed: refused, overloaded, or an outage. */
+    /** Not executed: refused, or an outage. */
     REFUSED,
+    /** Not executed: over the service's limits just now. */
+    BUSY,
     /** The lease of a write has ended. */
     NO_LEASE,
     /** No answer: it may have been applied, or may still be. */
@@ -123,7 +125,7 @@
         head.then.done(Result.REFUSED, 0);
       } else if (budget.take(head.writes.size(), true, now)) {
         urgent.poll();
-        send(head.conditions, head.writes, head.then);
+        sendUrgent(head);
       } else {
         break;
       }
@@ -139,6 +141,21 @@
     }
   }
 
+  /** A refusal changed nothing, so it is tried again while there is time. */
+  private void sendUrgent(Queued queued) {
+    send(
+        queued.conditions,
+        queued.writes,
+        (result, revision) -> {
+          if (result == Result.BUSY && loop.now().compareTo(queued.until) < 0) {
+            urgent.addFirst(queued);
+            drain();
+          } else {
+            queued.then.done(result == Result.BUSY ? Result.REFUSED : result, revision);
+          }
+        });
+  }
+
   /** Whether an ordinary transaction of so many writes may be sent now; takes its share if so. */
   public boolean reserve(int writes) {
     return urgent.isEmpty() && budget.take(writes, false, loop.now());
@@ -175,9 +192,9 @@
               }
             }
             case 429 -> {
-              budget.refused(loop.now(), Duration.ofMillis(100 + random.nextInt(200)));
+              budget.refused(loop.now(), Duration.ofMillis(50 + random.nextInt(100)));
               log.debug("state service: 429 for a transaction of {} writes", writes.size());
-              then.done(Result.REFUSED, 0);
+              then.done(Result.BUSY, 0);
             }
             case 503 -> then.done(Result.REFUSED, 0);
             default -> then.done(Result.UNKNOWN, 0);
--- /dev/null
+++ b/src/test/java/io/tansystack/schedule/PlannerTest.java
@@ -0,0 +1,254 @@
+package io.tansystack.schedule;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.tansystack.jobs.JobRecord;
+import io.tansystack.jobs.JobRecord.Assignment;
+import io.tansystack.jobs.TaskSet;
+import io.tansystack.schedule.Snapshot.JobState;
+import io.tansystack.schedule.Snapshot.MachineState;
+import io.tansystack.settings.OperatorSettings;
+import io.tansystack.settings.PlatformSettings.Team;
+import io.tansystack.wire.JobSpec;
+import io.tansystack.wire.MachineType;
+import io.tansystack.wire.Priority;
+import io.tansystack.wire.Shape;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class PlannerTest {
+  private static final MachineType SMALL =
+      new MachineType("small", 4, 0, 16, 50, 0.5, 1, 0.3, 40, List.of("a", "b"));
+  private static final MachineType ACCEL =
+      new MachineType("accel", 16, 4, 64, 50, 0.5, 10, 3, 30, List.of("a", "b"));
+  private static final Team OPEN = new Team("t", 0, 0, 0, 0);
+
+  private final List<MachineState> machines = new ArrayList<>();
+  private final List<MachineState> booting = new ArrayList<>();
+  private final List<JobState> jobs = new ArrayList<>();
+  private final Map<String, Team> teams = new HashMap<>(Map.of("t", OPEN));
+
+  private MachineState machine(String name, MachineType type, String zone) {
+    return machine(name, type, zone, Set.of(), 0, 1);
+  }
+
+  private MachineState machine(
+      String name, MachineType type, String zone, Set<String> images, double queued, double slow) {
+    MachineState m =
+        new MachineState(
+            name, type, zone, false, 1, true, false, images, Set.of(), queued, 0.5, slow);
+    machines.add(m);
+    return m;
+  }
+
+  private static JobSpec spec(
+      String id, Shape shape, Priority priority, int tasks, double cpus, double gpus,
+      boolean sameZone, boolean scatter) {
+    return new JobSpec(
+        id, "c", "t", shape, priority, tasks, cpus, gpus, 1, "img", 2, null, null, sameZone,
+        scatter, false, 10, 0, 0, null);
+  }
+
+  private JobState job(JobSpec spec, long at, Assignment... placed) {
+    JobRecord record = JobRecord.created(spec, at);
+    if (placed.length > 0) {
+      record = record.placed(List.of(placed));
+    }
+    JobState state = new JobState(spec.id(), record, true, Set.of());
+    jobs.add(state);
+    return state;
+  }
+
+  private Plan plan() {
+    return Planner.plan(new Snapshot(machines, booting, jobs, teams), 100, 8000, 30);
+  }
+
+  private static int placed(Plan plan, String job, String machine) {
+    return plan.placements().getOrDefault(job, List.of()).stream()
+        .filter(a -> a.machine().equals(machine))
+        .mapToInt(a -> a.tasks().size())
+        .sum();
+  }
+
+  private static int placed(Plan plan, String job) {
+    return plan.placements().getOrDefault(job, List.of()).stream()
+        .mapToInt(a -> a.tasks().size())
+        .sum();
+  }
+
+  /** Fetch (queue and image at 0.5 GB/s) plus 10 s scaled: the lesser sum wins. */
+  @ParameterizedTest
+  @CsvSource({
+    "true,0,1, false,0,1, x",
+    "false,0,1, true,0,1, y",
+    "false,0,1, false,3,1, x",
+    "true,0,2, false,0,1, y",
+    "true,0,1.3, false,0,1, x",
+    "true,0,1.5, false,0,1, y"
+  })
+  void leastPredictedTimeToDelivery(
+      boolean xCached, double xQueue, double xSlow,
+      boolean yCached, double yQueue, double ySlow, String best) {
+    machine("x", SMALL, "a", xCached ? Set.of("img") : Set.of(), xQueue, xSlow);
+    machine("y", SMALL, "a", yCached ? Set.of("img") : Set.of(), yQueue, ySlow);
+    job(spec("wk-1", Shape.ARRAY, Priority.LOW, 1, 1, 0, false, false), 0);
+    assertEquals(1, placed(plan(), "wk-1", best));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"1,1", "2,2", "3,3", "4,4", "5,4"})
+  void scatterKeepsHalfRoundedUpOutOfAZone(int tasks, int expected) {
+    for (int i = 0; i < 6; i++) {
+      machine("a" + i, SMALL, "a");
+    }
+    machine("b0", SMALL, "b");
+    job(spec("wk-1", Shape.SERVICE, Priority.PRODUCTION, tasks, 4, 0, false, true), 0);
+    Plan plan = plan();
+    assertEquals(tasks == 1 ? 1 : Math.min((tasks + 1) / 2 + 1, tasks), placed(plan, "wk-1"));
+    assertTrue(expected >= placed(plan, "wk-1"));
+  }
+
+  @Test
+  void gangsAreAllOrNothingAndInOneZoneIfAsked() {
+    machine("a0", SMALL, "a");
+    machine("b0", SMALL, "b");
+    machine("b1", SMALL, "b");
+    job(spec("wk-1", Shape.GANG, Priority.NORMAL, 2, 4, 0, true, false), 0);
+    Plan plan = plan();
+    assertEquals(1, placed(plan, "wk-1", "b0"));
+    assertEquals(1, placed(plan, "wk-1", "b1"));
+    jobs.clear();
+    job(spec("wk-2", Shape.GANG, Priority.NORMAL, 3, 4, 0, true, false), 0);
+    assertEquals(0, placed(plan(), "wk-2"));
+  }
+
+  @Test
+  void theNextGangAttemptWaitsForTheLast() {
+    machine("a0", SMALL, "a");
+    machine("a1", SMALL, "a");
+    JobState gang = job(spec("wk-1", Shape.GANG, Priority.NORMAL, 1, 4, 0, false, false), 0,
+        new Assignment("a0", 1, TaskSet.range(0, 1)));
+    jobs.clear();
+    jobs.add(new JobState("wk-1", gang.record().allStopped(), true, Set.of()));
+    assertEquals(0, placed(plan(), "wk-1"));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"0,0,4", "2,0,2", "3,0,3", "0,2,2"})
+  void teamLimitsCountAllThatMayExist(double cpusMax, int already, int expected) {
+    teams.put("t", new Team("t", 0, 0, already > 0 ? 4 : cpusMax, 0));
+    machine("a0", SMALL, "a");
+    machine("a1", SMALL, "a");
+    if (already > 0) {
+      job(spec("wk-9", Shape.ARRAY, Priority.LOW, already, 1, 0, false, false).id().equals("wk-9")
+              ? spec("wk-9", Shape.ARRAY, Priority.LOW, already, 1, 0, false, false)
+              : null, 0, new Assignment("gone", 1, TaskSet.range(0, already)));
+    }
+    job(spec("wk-1", Shape.ARRAY, Priority.LOW, 4, 1, 0, false, false), 1);
+    assertEquals(expected, placed(plan(), "wk-1"));
+  }
+
+  /** Lower priority makes way; the same or a higher one does not. */
+  @ParameterizedTest
+  @CsvSource({
+    "PRODUCTION,LOW,true", "HIGH,NORMAL,true", "NORMAL,LOW,true",
+    "NORMAL,NORMAL,false", "LOW,LOW,false", "HIGH,PRODUCTION,false"
+  })
+  void preemptionByPriorityAlone(Priority newcomer, Priority holder, boolean stops) {
+    machine("a0", SMALL, "a");
+    job(spec("wk-1", Shape.ARRAY, holder, 4, 1, 0, false, false), 0,
+        new Assignment("a0", 1, TaskSet.range(0, 4)));
+    job(spec("wk-2", Shape.ARRAY, newcomer, 1, 2, 0, false, false), 1);
+    Plan plan = plan();
+    assertEquals(stops, plan.stops().containsKey("wk-1"));
+    if (stops) {
+      assertEquals(2, plan.stops().get("wk-1").get(0).tasks().size(), "no more than needed");
+      assertTrue(plan.unmet().isEmpty(), "the room is in sight");
+    } else {
+      assertFalse(plan.unmet().isEmpty());
+    }
+  }
+
+  @Test
+  void aTeamOwedItsGuaranteeTakesBackWhatAnotherBorrows() {
+    teams.put("t", new Team("t", 0, 4, 0, 8));
+    teams.put("u", new Team("u", 0, 4, 0, 8));
+    machine("a0", ACCEL, "a");
+    machine("a1", ACCEL, "a");
+    for (int i = 0; i < 2; i++) {
+      job(spec("wk-" + i, Shape.GANG, Priority.NORMAL, 1, 8, 4, false, false), i,
+          new Assignment("a" + i, 1, TaskSet.range(0, 1)));
+    }
+    JobSpec other =
+        new JobSpec("wk-9", "c", "u", Shape.GANG, Priority.NORMAL, 1, 8, 4, 1, "img", 2, null,
+            null, false, false, false, 10, 0, 0, null);
+    job(other, 9);
+    Plan plan = plan();
+    assertTrue(plan.stops().containsKey("wk-1"), "the later one, beyond the guarantee");
+    assertNull(plan.stops().get("wk-0"));
+  }
+
+  @Test
+  void whatNeedsNoAcceleratorWaitsForABootingMachineAndTakesNoneAway() {
+    machine("acc", ACCEL, "a");
+    JobSpec gang = spec("wk-1", Shape.GANG, Priority.NORMAL, 1, 14, 4, false, false);
+    job(gang, 0);
+    job(spec("wk-2", Shape.SERVICE, Priority.PRODUCTION, 1, 4, 0, false, false), 0);
+    Plan plan = plan();
+    assertEquals(1, placed(plan, "wk-1"), "the only machine for it is kept for it");
+    assertEquals(0, placed(plan, "wk-2"));
+    assertTrue(plan.stops().isEmpty());
+  }
+
+  @Test
+  void refusingMachinesArePassedOver() {
+    machine("a0", SMALL, "a", Set.of("img"), 0, 1);
+    machine("a1", SMALL, "a");
+    JobSpec spec = spec("wk-1", Shape.ARRAY, Priority.LOW, 1, 1, 0, false, false);
+    jobs.add(new JobState("wk-1", JobRecord.created(spec, 0), true, Set.of("a0")));
+    assertEquals(1, placed(plan(), "wk-1", "a1"));
+  }
+
+  @Test
+  void replicasLeaveADrainedMachineOneByOne() {
+    machines.add(
+        new MachineState(
+            "old", SMALL, "a", false, 1, false, true, Set.of("img"), Set.of(), 0, 0.5, 1));
+    machine("new", SMALL, "a");
+    job(spec("wk-1", Shape.SERVICE, Priority.PRODUCTION, 2, 1, 0, false, false), 0,
+        new Assignment("old", 1, TaskSet.range(0, 2)));
+    Plan plan = plan();
+    assertEquals(1, plan.stops().get("wk-1").size());
+    assertEquals(1, plan.stops().get("wk-1").get(0).tasks().size());
+  }
+
+  @Test
+  void rentsTheCheapestAndCountsWhatIsBooting() {
+    JobSpec spec = spec("wk-1", Shape.ARRAY, Priority.LOW, 8, 1, 0, false, false);
+    List<Plan.Unmet> unmet = List.of(new Plan.Unmet("wk-1", spec, 8, false));
+    Map<String, MachineType> types = Map.of("small", SMALL, "accel", ACCEL);
+    RentPlanner.Kind small = new RentPlanner.Kind("small", "a", false);
+    Map<RentPlanner.Kind, Integer> rent =
+        RentPlanner.decide(unmet, List.of(), types, k -> false, OperatorSettings.defaults(), 10);
+    assertEquals(2, rent.values().stream().mapToInt(i -> i).sum());
+    assertTrue(rent.keySet().stream().allMatch(k -> k.type().equals("small")));
+    rent =
+        RentPlanner.decide(
+            unmet, List.of(small, small), types, k -> false, OperatorSettings.defaults(), 10);
+    assertTrue(rent.isEmpty());
+    rent =
+        RentPlanner.decide(
+            unmet, List.of(), types, k -> k.type().equals("small"), OperatorSettings.defaults(), 10);
+    assertEquals(Set.of("accel"), rent.keySet().stream().map(RentPlanner.Kind::type)
+        .collect(java.util.stream.Collectors.toSet()));
+  }
+}
--- /dev/null
+++ b/src/test/java/io/tansystack/settings/SettingsTest.java
@@ -0,0 +1,92 @@
+package io.tansystack.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+public class SettingsTest {
+  public static final String GOOD =
+      """
+      label = "c-0"
+      zone = "a"
+      front = "127.0.0.1:8080"
+      peer_bind = "127.0.0.1:8081"
+      unheard_of = 3
+
+      [services]
+      cloud = "127.0.0.1:8443"
+      state = "127.0.0.1:2379"
+
+      [cluster]
+      size = 1
+      zones = ["a", "b"]
+      skew_ms = 250.0
+
+      [[cluster.teams]]
+      name = "vision"
+      cpus = 0.0
+      cpus_max = 40.0
+      gpus = 4.0
+      gpus_max = 8.0
+
+      [cluster.workers]
+      report_s = 3.0
+      lease_s = 36.0
+      gang_wait_s = 40.0
+      gang_peer_s = 6.0
+      cancel_s = 61.0
+
+      [cluster.state]
+      rps = 200.0
+      write_rps = 200.0
+      value_kb = 16.0
+      txn_ops = 16
+
+      [cluster.cloud]
+      rps = 2.0
+      list_lag_s = 3.0
+      """;
+
+  @Test
+  void readsTheFormAndIgnoresWhatItDoesNotKnow() throws Exception {
+    PlatformSettings settings = PlatformSettings.parse(GOOD);
+    assertEquals(Duration.ofSeconds(36), settings.workers().lease());
+    assertEquals(8, settings.team("vision").gpusMax());
+    assertEquals(16384, settings.store().valueBytes());
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "label = \"c-0\"|label = 3|label",
+        "zone = \"a\"||zone",
+        "127.0.0.1:8080|somewhere:80|front",
+        "lease_s = 36.0|lease_s = -1.0|cluster.workers.lease_s",
+        "lease_s = 36.0|lease_s = \"x\"|cluster.workers.lease_s",
+        "write_rps = 200.0||cluster.state.write_rps",
+        "txn_ops = 16|txn_ops = 1.5|cluster.state.txn_ops",
+        "gpus = 4.0|gpus = true|cluster.teams[0].gpus"
+      })
+  void errorsNameTheKey(String from, String to, String key) {
+    String text = GOOD.replace(from, to == null ? "" : to);
+    SettingsException e =
+        assertThrows(SettingsException.class, () -> PlatformSettings.parse(text));
+    assertTrue(e.getMessage().startsWith(key + ":"), e.getMessage());
+  }
+
+  @Test
+  void operatorsKeysHaveDefaultsAndBounds() throws Exception {
+    assertEquals(OperatorSettings.defaults(), OperatorSettings.parse("[rent]\n"));
+    SettingsException e =
+        assertThrows(
+            SettingsException.class,
+            () -> OperatorSettings.parse("[machines]\nidle_return_s = 0\n"));
+    assertTrue(e.getMessage().startsWith("machines.idle_return_s:"), e.getMessage());
+  }
+}
--- /dev/null
+++ b/src/test/java/io/tansystack/wire/JobSpecTest.java
@@ -0,0 +1,87 @@
+package io.tansystack.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class JobSpecTest {
+  private static final String GOOD =
+      """
+      {"Uid":"wk-000412","Consist":"train","Crew":"vision","Shape":"group","Urgency":"urgent",
+       "Wagons":16,"Cpus":8.0,"Gpus":1.0,"MemGb":64.0,"Cargo":"img-07","PullGb":6.2,
+       "Fleets":["g8"],"Yard":null,"SamePlace":true,"Scatter":false,"Loaners":true,
+       "TransitS":240.0,"WaypointS":30.0,"CoupleS":4.0,"DueS":900.0,"Unheard":{"of":1}}
+      """;
+
+  private static ObjectNode good() throws Exception {
+    return (ObjectNode) new ObjectMapper().readTree(GOOD);
+  }
+
+  @Test
+  void readsTheProtocolsExampleAndIgnoresUnknownFields() throws Exception {
+    JobSpec spec = JobSpec.read(good());
+    assertEquals(16, spec.tasks());
+    assertEquals(Shape.GANG, spec.shape());
+    assertEquals(Priority.HIGH, spec.priority());
+    assertEquals(spec, JobSpec.read(spec.write()));
+  }
+
+  /** Every refusal names the field, so that a user can mend the submission. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "Uid|\"412\"", "Uid|null", "Uid|\"wk-\"", "Uid|\"wk-1/2\"", "Uid|7",
+        "Shape|\"swarm\"", "Urgency|\"now\"", "Wagons|0", "Wagons|100001", "Wagons|1.5",
+        "Wagons|\"3\"", "Cpus|-1", "Cpus|\"8\"", "Cpus|null", "MemGb|true", "Cargo|\"\"",
+        "PullGb|-0.5", "Fleets|\"g8\"", "Fleets|[1]", "Yard|5", "SamePlace|null", "SamePlace|0",
+        "TransitS|-1", "DueS|\"soon\"", "CoupleS|null", "Crew|[]"
+      })
+  void refusesWrongFields(String field, String json) throws Exception {
+    ObjectNode map = good();
+    map.set(field, new ObjectMapper().readTree(json));
+    BadInput e = assertThrows(BadInput.class, () -> JobSpec.read(map));
+    assertTrue(e.getMessage().startsWith(field), e.getMessage());
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"Fleets", "Yard", "DueS"})
+  void whatMayBeNullMayBeLeftOut(String field) throws Exception {
+    ObjectNode map = good();
+    map.remove(field);
+    assertEquals("wk-000412", JobSpec.read(map).id());
+  }
+
+  @ParameterizedTest
+  @CsvSource({"true,9,5", "true,1,1", "true,2,1", "false,4,4"})
+  void scatterAllowsHalfRoundedUpInAZone(boolean scatter, int tasks, int cap) throws Exception {
+    ObjectNode map = good().put("Scatter", scatter).put("Wagons", tasks);
+    assertEquals(cap, JobSpec.read(map).zoneCap());
+  }
+
+  @Test
+  void bodiesThatAreNoCborMapAreBadInput() {
+    for (byte[] body : new byte[][] {{}, {(byte) 0xff}, "{\"a\":1}".getBytes(), {0x01}, {(byte) 0x80}}) {
+      assertThrows(BadInput.class, () -> Cbor.decodeMap(body));
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({"wk-1/3,wk-1,3", "wk-000412/99999,wk-000412,99999"})
+  void taskNames(String text, String job, int index) throws Exception {
+    assertEquals(new TaskId(job, index), TaskId.parse(text));
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"wk-1", "/3", "wk-1/", "wk-1/x", "wk-1/-1", "wk-1/12345678"})
+  void wrongTaskNames(String text) {
+    assertThrows(BadInput.class, () -> TaskId.parse(text));
+  }
+}
--- /dev/null
+++ b/src/test/java/io/tansystack/workers/ProofsTest.java
@@ -0,0 +1,94 @@
+package io.tansystack.workers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.tansystack.cluster.World.MachineRecord;
+import io.tansystack.jobs.JobRecord;
+import io.tansystack.jobs.JobRecord.Assignment;
+import io.tansystack.jobs.TaskSet;
+import io.tansystack.wire.JobSpec;
+import io.tansystack.wire.Priority;
+import io.tansystack.wire.Report;
+import io.tansystack.wire.Shape;
+import io.tansystack.wire.TaskId;
+import io.tansystack.wire.TaskReport;
+import io.tansystack.wire.TaskReport.Cause;
+import io.tansystack.wire.TaskReport.State;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** What proves that a placement is over, and what comes near it and proves nothing. */
+class ProofsTest {
+  private static final long TOKEN = 50;
+  private static final MachineRecord MACHINE =
+      new MachineRecord("n-1", "c-0", "b", "127.0.0.1:1", "g8", "a", false, false, TOKEN);
+
+  /** Task 0 of wk-1 on n-1 in session 2, attempt 1. */
+  private static final JobRecord RECORD =
+      JobRecord.created(
+              new JobSpec(
+                  "wk-1", "c", "t", Shape.ARRAY, Priority.LOW, 1, 1, 0, 1, "i", 1, null, null,
+                  false, false, true, 10, 0, 0, null),
+              0)
+          .placed(List.of(new Assignment("n-1", 2, TaskSet.range(0, 1))));
+
+  private static View view(long session, long token, List<View.Void> voids, TaskReport... tasks) {
+    Report report =
+        new Report(
+            "n-1", "127.0.0.1:1", "g8", "a", false, session, 9, token, null, List.of(tasks));
+    return new View(report, token, voids, Map.of(), 0, 0, 0);
+  }
+
+  private static TaskReport task(int index, long attempt, State state, Cause cause) {
+    return new TaskReport(new TaskId("wk-1", index), attempt, state, cause, false);
+  }
+
+  static Stream<Arguments> cases() {
+    List<View.Void> exact = List.of(new View.Void("wk-1", 0, 1));
+    return Stream.of(
+        Arguments.of("ended", MACHINE, view(2, TOKEN, List.of(), task(0, 1, State.EXITED, Cause.DONE)), 1, 0),
+        Arguments.of("refused", MACHINE, view(2, TOKEN, List.of(), task(0, 1, State.EXITED, Cause.NO_ROOM)), 1, 0),
+        Arguments.of("ended, told under an older token", MACHINE, view(2, 40, List.of(), task(0, 1, State.EXITED, Cause.ERROR)), 1, 0),
+        Arguments.of("later session", MACHINE, view(3, TOKEN, List.of()), 1, 0),
+        Arguments.of("record gone", null, null, 1, 0),
+        Arguments.of("record gone, old view left", null, view(2, TOKEN, List.of(), task(0, 1, State.RUNNING, null)), 1, 0),
+        Arguments.of("owner's word that it is void", MACHINE, view(2, TOKEN, exact), 1, 1),
+        Arguments.of("nothing known", MACHINE, null, 0, 0),
+        Arguments.of("missing in the list", MACHINE, view(2, TOKEN, List.of()), 0, 0),
+        Arguments.of("earlier session", MACHINE, view(1, TOKEN, List.of(), task(0, 1, State.EXITED, Cause.DONE)), 0, 0),
+        Arguments.of("another attempt ended", MACHINE, view(2, TOKEN, List.of(), task(0, 2, State.EXITED, Cause.DONE)), 0, 0),
+        Arguments.of("another task ended", MACHINE, view(2, TOKEN, List.of(), task(1, 1, State.EXITED, Cause.DONE)), 0, 0),
+        Arguments.of("still saving", MACHINE, view(2, TOKEN, List.of(), task(0, 1, State.SAVING, null)), 0, 0),
+        Arguments.of("word of a former owner", MACHINE, view(2, 40, exact), 0, 0),
+        Arguments.of("word on another attempt", MACHINE, view(2, TOKEN, List.of(new View.Void("wk-1", 0, 2))), 0, 0));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("cases")
+  void proofsAndNearMisses(String name, MachineRecord machine, View view, int over, int conditions) {
+    Proofs proofs = Proofs.collect("wk-1", RECORD, m -> view, m -> machine, m -> "key/" + m);
+    assertEquals(over, proofs.over().size());
+    assertEquals(conditions, proofs.conditions().size());
+    conditions(proofs);
+  }
+
+  private static void conditions(Proofs proofs) {
+    proofs.conditions().forEach(c -> assertEquals(TOKEN, c.version()));
+  }
+
+  @ParameterizedTest
+  @MethodSource("cases")
+  void aViewTravelsUnchanged(
+      String name, MachineRecord machine, View view, int over, int conditions) throws Exception {
+    if (view != null) {
+      View back = View.read(view.write());
+      assertEquals(view.report(), back.report());
+      assertEquals(view.voids(), back.voids());
+      assertEquals(view.token(), back.token());
+    }
+  }
+}
