--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -11,6 +11,7 @@
 import io.tansystack.http.HttpServer.Reply;
 import io.tansystack.http.Loop;
 import io.tansystack.jobs.JobDuty;
+import io.tansystack.jobs.Overseer;
 import io.tansystack.jobs.UserApi;
 import io.tansystack.schedule.Snapshot.MachineState;
 import io.tansystack.settings.OperatorSettings;
@@ -36,7 +37,9 @@
   private static final Logger log = LoggerFactory.getLogger(Controller.class);
 
   /** Other controllers may need less than their part of the write limit. */
-  private static final double OVERCOMMIT = 1.35;
+  private static final double OVERCOMMIT = 1.8;
+
+  private static final Duration SUMMARY_EVERY = Duration.ofSeconds(30);
 
   private final Loop loop;
   private final PlatformSettings settings;
@@ -51,6 +54,8 @@
   private final JobDuty jobs;
   private final FleetDuty fleet;
   private final UserApi users;
+  private final Overseer overseer;
+  private final Latencies latencies;
   private final Map<String, View> views = new HashMap<>();
   private final byte[] empty = Cbor.encode(Cbor.map());
 
@@ -117,6 +122,14 @@
             loop, caller, store, world, lease, slots, types, settings, operator, desk, views::get,
             jobs);
     this.users = new UserApi(store, world, settings, clock, types::all);
+    this.overseer =
+        new Overseer(
+            loop,
+            clock,
+            world,
+            slots,
+            id -> jobs.lastPlan().unmet().stream().anyMatch(u -> u.job().equals(id)));
+    this.latencies = new Latencies(loop);
     log.info("controller {} boot {} in {}: acts for {} after it is cut off", label, boot, settings.zone(), life);
   }
 
@@ -127,7 +140,9 @@
     peers.start();
     slots.start();
     fleet.start();
+    overseer.start();
     tick();
+    summarise();
   }
 
   private void tick() {
@@ -142,6 +157,17 @@
     }
   }
 
+  private void summarise() {
+    loop.after(SUMMARY_EVERY, this::summarise);
+    log.info(
+        "summary jobs={} machines={} owned={} valid={} count/p50/p99/max{}",
+        world.jobs().size(),
+        world.machines().size(),
+        desk.owned().size(),
+        lease.valid(),
+        latencies.summary());
+  }
+
   private void worldChanged() {
     slots.turn();
     desk.worldChanged();
@@ -185,17 +211,17 @@
     boolean get = method.equals("GET");
     boolean post = method.equals("POST");
     if (post && path.equals("/v1/report")) {
-      desk.report(body, reply);
+      desk.report(body, latencies.timed("report", reply));
     } else if (get && path.equals("/up")) {
       reply.send(ready() ? 200 : 503, empty);
     } else if (post && path.equals("/v1/jobs")) {
-      users.submit(body, reply);
+      users.submit(body, latencies.timed("submit", reply));
     } else if (path.startsWith("/v1/jobs/")) {
       String rest = path.substring("/v1/jobs/".length());
       if (get) {
-        users.poll(rest, reply);
+        users.poll(rest, latencies.timed("poll", reply));
       } else if (post && rest.endsWith("/abort")) {
-        users.abort(rest.substring(0, rest.length() - "/abort".length()), reply);
+        users.abort(rest.substring(0, rest.length() - "/abort".length()), latencies.timed("abort", reply));
       } else {
         reply.send(405, Cbor.encode(Answers.error("no such method")));
       }
--- /dev/null
+++ b/src/main/java/io/tansystack/cli/Latencies.java
@@ -0,0 +1,49 @@
+package io.tansystack.cli;
+
+import io.tansystack.http.HttpServer.Reply;
+import io.tansystack.http.Loop;
+import java.time.Duration;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/** How long answers take, by kind, summed up now and then in one line. */
+final class Latencies {
+  private static final long HIGHEST_MICROS = 60_000_000;
+  private final Loop loop;
+  private final Map<String, Histogram> kinds = new TreeMap<>();
+
+  Latencies(Loop loop) {
+    this.loop = loop;
+  }
+
+  /** A reply that measures itself. */
+  Reply timed(String kind, Reply reply) {
+    Duration since = loop.now();
+    return (status, body, retryAfterS) -> {
+      long micros = loop.now().minus(since).toNanos() / 1000;
+      kinds
+          .computeIfAbsent(kind, k -> new Histogram(HIGHEST_MICROS, 2))
+          .recordValue(Math.max(0, Math.min(HIGHEST_MICROS, micros)));
+      reply.send(status, body, retryAfterS);
+    };
+  }
+
+  /** Count, median, 99th percentile and maximum of each kind in milliseconds; starts anew. */
+  String summary() {
+    StringBuilder text = new StringBuilder();
+    kinds.forEach(
+        (kind, h) -> {
+          text.append(
+              String.format(
+                  " %s=%d/%.1f/%.1f/%.1fms",
+                  kind,
+                  h.getTotalCount(),
+                  h.getValueAtPercentile(50) / 1000.0,
+                  h.getValueAtPercentile(99) / 1000.0,
+                  h.getMaxValue() / 1000.0));
+          h.reset();
+        });
+    return text.toString();
+  }
+}
--- a/src/main/java/io/tansystack/schedule/Planner.java
+++ b/src/main/java/io/tansystack/schedule/Planner.java
@@ -529,7 +529,8 @@
     Object2IntOpenHashMap<String> zones = zones(job.record());
     List<Room> allowed = new ArrayList<>();
     for (Room room : rooms.values()) {
-      if (allowed(job, room)) {
+      // Room that the task was kept out of stays free for whom it is kept.
+      if (allowed(job, room) && !spoils(spec, room)) {
         allowed.add(room);
       }
     }
--- a/src/test/java/io/tansystack/schedule/PlannerTest.java
+++ b/src/test/java/io/tansystack/schedule/PlannerTest.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -105,16 +106,14 @@
   }
 
   @ParameterizedTest
-  @CsvSource({"1,1", "2,2", "3,3", "4,4", "5,4"})
+  @CsvSource({"1,1", "2,2", "3,3", "4,3", "5,4"})
   void scatterKeepsHalfRoundedUpOutOfAZone(int tasks, int expected) {
     for (int i = 0; i < 6; i++) {
       machine("a" + i, SMALL, "a");
     }
     machine("b0", SMALL, "b");
     job(spec("wk-1", Shape.SERVICE, Priority.PRODUCTION, tasks, 4, 0, false, true), 0);
-    Plan plan = plan();
-    assertEquals(tasks == 1 ? 1 : Math.min((tasks + 1) / 2 + 1, tasks), placed(plan, "wk-1"));
-    assertTrue(expected >= placed(plan, "wk-1"));
+    assertEquals(expected, placed(plan(), "wk-1"), "zone b has room for one");
   }
 
   @Test
@@ -143,15 +142,14 @@
   }
 
   @ParameterizedTest
-  @CsvSource({"0,0,4", "2,0,2", "3,0,3", "0,2,2"})
+  @CsvSource({"0,0,4", "2,0,2", "3,0,3", "4,2,2", "4,4,0"})
   void teamLimitsCountAllThatMayExist(double cpusMax, int already, int expected) {
-    teams.put("t", new Team("t", 0, 0, already > 0 ? 4 : cpusMax, 0));
+    teams.put("t", new Team("t", 0, 0, cpusMax, 0));
     machine("a0", SMALL, "a");
     machine("a1", SMALL, "a");
     if (already > 0) {
-      job(spec("wk-9", Shape.ARRAY, Priority.LOW, already, 1, 0, false, false).id().equals("wk-9")
-              ? spec("wk-9", Shape.ARRAY, Priority.LOW, already, 1, 0, false, false)
-              : null, 0, new Assignment("gone", 1, TaskSet.range(0, already)));
+      job(spec("wk-9", Shape.ARRAY, Priority.LOW, already, 1, 0, false, false), 0,
+          new Assignment("gone", 1, TaskSet.range(0, already)));
     }
     job(spec("wk-1", Shape.ARRAY, Priority.LOW, 4, 1, 0, false, false), 1);
     assertEquals(expected, placed(plan(), "wk-1"));
@@ -249,6 +247,6 @@
         RentPlanner.decide(
             unmet, List.of(), types, k -> k.type().equals("small"), OperatorSettings.defaults(), 10);
     assertEquals(Set.of("accel"), rent.keySet().stream().map(RentPlanner.Kind::type)
-        .collect(java.util.stream.Collectors.toSet()));
+        .collect(Collectors.toSet()));
   }
 }
--- /dev/null
+++ b/src/test/java/io/tansystack/sim/ClusterTest.java
@@ -0,0 +1,409 @@
+package io.tansystack.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.cli.Controller;
+import io.tansystack.http.HttpCaller;
+import io.tansystack.http.HttpServer.Reply;
+import io.tansystack.settings.OperatorSettings;
+import io.tansystack.settings.PlatformSettings;
+import io.tansystack.settings.SettingsTest;
+import io.tansystack.wire.BadInput;
+import io.tansystack.wire.Cbor;
+import io.tansystack.wire.JobSpec;
+import io.tansystack.wire.Priority;
+import io.tansystack.wire.Shape;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Whole controllers against stand-ins for the state service, the cloud and workers, in simulated
+ * time. The network loses answers, delays requests by up to minutes, and controllers are killed at
+ * any moment; the rules must hold throughout, and the work must be done in the end.
+ */
+class ClusterTest {
+  private static final InetSocketAddress STORE = new InetSocketAddress("127.0.0.1", 2379);
+  private static final InetSocketAddress CLOUD = new InetSocketAddress("127.0.0.1", 8443);
+
+  private final SimLoop loop = new SimLoop();
+  private final StandInStore store = new StandInStore(loop);
+  private final Map<String, StandInWorker> workers = new LinkedHashMap<>();
+  private final Map<Integer, Controller> controllers = new HashMap<>();
+  private final Map<Integer, SimLoop.Mortal> processes = new HashMap<>();
+  private final List<String> started = new ArrayList<>();
+  private final Set<String> broken = new HashSet<>();
+  private Random random = new Random(1);
+  private int controllerCount = 1;
+
+  /** How often an exchange goes wrong. */
+  private double trouble;
+
+  private int machineCounter;
+
+  private static int port(int controller) {
+    return 8080 + 10 * controller;
+  }
+
+  private PlatformSettings settings(int me) throws Exception {
+    StringBuilder seeds = new StringBuilder();
+    for (int i = 0; i < controllerCount; i++) {
+      if (i != me) {
+        seeds.append(
+            "[[seeds]]\nlabel = \"c-" + i + "\"\nzone = \"a\"\npeer_addr = \"127.0.0.1:"
+                + (port(i) + 1) + "\"\n");
+      }
+    }
+    return PlatformSettings.parse(
+        SettingsTest.GOOD
+            .replace("c-0", "c-" + me)
+            .replace("127.0.0.1:8080", "127.0.0.1:" + port(me))
+            .replace("127.0.0.1:8081", "127.0.0.1:" + (port(me) + 1))
+            .replace("size = 1", "size = " + controllerCount)
+            .replace("[services]", seeds + "[services]"));
+  }
+
+  private void boot(int index) throws Exception {
+    SimLoop.Mortal process = loop.process();
+    Controller controller =
+        new Controller(
+            process,
+            caller(process),
+            settings(index),
+            OperatorSettings.defaults(),
+            InstantSource.system(),
+            new Random(random.nextLong()));
+    processes.put(index, process);
+    controllers.put(index, controller);
+    controller.start();
+  }
+
+  private void kill(int index) {
+    processes.get(index).dead = true;
+    controllers.remove(index);
+  }
+
+  /** Carries requests to the stand-ins and controllers, with delays, losses and late deliveries. */
+  private HttpCaller caller(SimLoop.Mortal from) {
+    return (to, method, path, body, timeout, outcome) -> {
+      boolean[] over = {false};
+      from.after(
+          timeout,
+          () -> {
+            if (!over[0]) {
+              over[0] = true;
+              outcome.silence(false);
+            }
+          });
+      boolean late = random.nextDouble() < trouble;
+      boolean lost = random.nextDouble() < trouble;
+      Duration way = late ? Duration.ofMillis(3000 + random.nextInt(40_000)) : Duration.ofMillis(2);
+      BiConsumer<Integer, byte[]> back =
+          (status, answer) ->
+              from.after(
+                  Duration.ofMillis(2),
+                  () -> {
+                    if (!over[0] && !lost) {
+                      over[0] = true;
+                      outcome.answer(status, answer);
+                    }
+                  });
+      loop.after(way, () -> deliver(to, method, path, body, back));
+    };
+  }
+
+  private void deliver(
+      InetSocketAddress to,
+      String method,
+      String path,
+      byte[] body,
+      BiConsumer<Integer, byte[]> back) {
+    BiConsumer<Integer, ObjectNode> reply = (status, map) -> back.accept(status, Cbor.encode(map));
+    if (to.equals(STORE)) {
+      store.handle(method, path, decode(body), reply);
+    } else if (to.equals(CLOUD)) {
+      cloud(path, decode(body), reply);
+    } else if (to.getPort() >= 9000) {
+      for (StandInWorker worker : workers.values()) {
+        if (worker.address.endsWith(":" + to.getPort()) && !worker.dead) {
+          int status = worker.orders(decode(body));
+          check();
+          back.accept(status, Cbor.encode(worker.report().write()));
+        }
+      }
+    } else {
+      Controller controller = controllers.get((to.getPort() - 8080) / 10);
+      if (controller != null) {
+        Reply answer = (status, bytes, retry) -> back.accept(status, bytes);
+        controller.peer(method, path, body, answer);
+      }
+    }
+  }
+
+  private static ObjectNode decode(byte[] body) {
+    try {
+      return body == null ? Cbor.map() : Cbor.decodeMap(body);
+    } catch (BadInput e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private void cloud(String path, ObjectNode body, BiConsumer<Integer, ObjectNode> reply) {
+    ObjectNode map = Cbor.map();
+    if (path.equals("/machine_types")) {
+      ObjectNode type = map.putArray("Fleets").addObject();
+      type.put("Label", "small").put("Cpus", 4).put("Gpus", 0).put("MemGb", 16).put("CacheGb", 50);
+      type.put("PullGbPerS", 1.0).put("Price", 1.0).put("MarketPrice", 0.3).put("BootS", 5);
+      type.putArray("Yards").add("a");
+    } else if (path.equals("/machines")) {
+      ArrayNode names = map.putArray("Berths");
+      for (int i = 0; i < body.get("HowMany").asInt() && workers.size() < 8; i++) {
+        names.add(addWorker());
+      }
+      if (names.isEmpty()) {
+        reply.accept(503, Cbor.map().put("error", "no capacity"));
+        return;
+      }
+    } else if (path.equals("/machines/delete")) {
+      body.get("Berths")
+          .forEach(
+              name -> {
+                StandInWorker worker = workers.remove(name.asText());
+                if (worker != null) {
+                  worker.dead = true;
+                }
+              });
+    } else {
+      ArrayNode list = map.putArray("Berths");
+      workers.values().forEach(
+          w ->
+              list.addObject().put("Uid", w.name).put("Endpoint", w.address).put("Fleet", "small")
+                  .put("Yard", "a").put("Loaners", false).put("Status", "running").put("AgeS", 9));
+      map.put("HasNext", false);
+    }
+    reply.accept(200, map);
+  }
+
+  private String addWorker() {
+    String name = String.format("n-%06d", machineCounter);
+    StandInWorker worker =
+        new StandInWorker(
+            loop, name, "127.0.0.1:" + (9000 + machineCounter), Duration.ofSeconds(36),
+            Duration.ofSeconds(20), started, w -> {});
+    machineCounter++;
+    workers.put(name, worker);
+    loop.after(Duration.ofSeconds(5), () -> report(worker));
+    return name;
+  }
+
+  private void report(StandInWorker worker) {
+    if (worker.dead) {
+      return;
+    }
+    Duration sentAt = loop.now();
+    long session = worker.session;
+    boolean[] over = {false};
+    Controller controller = controllers.get(worker.target);
+    Runnable next = () -> {
+      worker.target = (worker.target + 1) % controllerCount;
+      loop.after(Duration.ofSeconds(1), () -> report(worker));
+    };
+    loop.after(Duration.ofSeconds(4), () -> {
+      if (!over[0]) {
+        over[0] = true;
+        next.run();
+      }
+    });
+    if (controller == null || random.nextDouble() < trouble) {
+      return;
+    }
+    boolean lost = random.nextDouble() < trouble;
+    controller.front("POST", "/v1/report", Cbor.encode(worker.report().write()), (status, bytes, r) -> {
+      if (over[0] || lost || worker.dead) {
+        return;
+      }
+      over[0] = true;
+      if (status == 200) {
+        worker.answered(status, decode(bytes), sentAt, session);
+        loop.after(Duration.ofMillis(1500), () -> report(worker));
+      } else if (status == 421 && decode(bytes).has("Dispatcher")) {
+        worker.target = Integer.parseInt(decode(bytes).get("Dispatcher").asText().substring(2));
+        loop.after(Duration.ofMillis(300), () -> report(worker));
+      } else {
+        next.run();
+      }
+    });
+  }
+
+  /** The rule that a task is never on two machines, at every moment at which one may start. */
+  private void check() {
+    Set<String> seen = new HashSet<>();
+    for (StandInWorker worker : workers.values()) {
+      for (String task : worker.live()) {
+        if (!seen.add(task)) {
+          broken.add("on two machines: " + task);
+        }
+      }
+    }
+  }
+
+  private int call(String method, String path, byte[] body, ObjectNode[] into) {
+    int[] status = {0};
+    for (Controller controller : controllers.values()) {
+      controller.front(method, path, body, (s, bytes, r) -> {
+        status[0] = s;
+        into[0] = decode(bytes);
+      });
+      loop.runFor(Duration.ofSeconds(3));
+      if (status[0] == 200 || status[0] == 201 || status[0] == 404) {
+        break;
+      }
+    }
+    return status[0];
+  }
+
+  private static JobSpec spec(String id, int tasks) {
+    return new JobSpec(
+        id, "c", "vision", Shape.ARRAY, Priority.NORMAL, tasks, 1, 0, 1, "img", 1, null, null,
+        false, false, false, 20, 0, 0, null);
+  }
+
+  private void submit(String id, int tasks) {
+    ObjectNode[] answer = new ObjectNode[1];
+    for (int i = 0; i < 30; i++) {
+      int status = call("POST", "/v1/jobs", Cbor.encode(spec(id, tasks).write()), answer);
+      if (status == 200 || status == 201) {
+        return;
+      }
+    }
+    throw new AssertionError("never accepted: " + id);
+  }
+
+  private String state(String id) {
+    ObjectNode[] answer = new ObjectNode[1];
+    for (int i = 0; i < 20; i++) {
+      int status = call("GET", "/v1/jobs/" + id, new byte[0], answer);
+      if (status == 404) {
+        return "404";
+      }
+      if (status == 200) {
+        return answer[0].get("Status").asText();
+      }
+    }
+    return "no answer";
+  }
+
+  @Test
+  void aJobRunsToItsEndAndIsKnownForEver() throws Exception {
+    boot(0);
+    loop.runFor(Duration.ofSeconds(2));
+    submit("wk-000001", 10);
+    assertEquals("404", state("wk-000002"));
+    loop.runFor(Duration.ofSeconds(120));
+    assertEquals("done", state("wk-000001"));
+    assertEquals(10, started.size(), "each task was started once");
+    kill(0);
+    boot(0);
+    loop.runFor(Duration.ofSeconds(2));
+    ObjectNode[] answer = new ObjectNode[1];
+    byte[] other = Cbor.encode(Cbor.map().put("Uid", "wk-000001").put("Wagons", "many"));
+    assertEquals(200, call("POST", "/v1/jobs", other, answer), "whatever the body of a repetition");
+    assertEquals("done", answer[0].get("Status").asText());
+    assertEquals(200, call("POST", "/v1/jobs/wk-000001/abort", new byte[0], answer));
+    assertEquals("done", answer[0].get("Status").asText());
+  }
+
+  @Test
+  void badInputAndWhatCanNeverRun() throws Exception {
+    boot(0);
+    loop.runFor(Duration.ofSeconds(2));
+    ObjectNode good = spec("wk-000001", 1).write();
+    Map<byte[], Integer> cases = new LinkedHashMap<>();
+    cases.put(new byte[] {(byte) 0xff}, 400);
+    cases.put(Cbor.encode(good.deepCopy().put("Uid", "7")), 400);
+    cases.put(Cbor.encode(good.deepCopy().put("Wagons", 0)), 400);
+    cases.put(Cbor.encode(good.deepCopy().put("Crew", "nobody")), 422);
+    cases.put(Cbor.encode(good.deepCopy().put("Cpus", 64)), 422);
+    cases.put(Cbor.encode(good.deepCopy().put("Shape", "group").put("Wagons", 41)), 422);
+    cases.put(Cbor.encode(good.deepCopy().put("Yard", "z")), 422);
+    cases.put(Cbor.encode(good), 201);
+    ObjectNode[] answer = new ObjectNode[1];
+    int n = 0;
+    for (Map.Entry<byte[], Integer> c : cases.entrySet()) {
+      assertEquals(c.getValue(), call("POST", "/v1/jobs", c.getKey(), answer), "case " + n++);
+    }
+  }
+
+  @Test
+  void cancelledWorkIsGoneAndStaysCancelled() throws Exception {
+    boot(0);
+    loop.runFor(Duration.ofSeconds(2));
+    submit("wk-000001", 6);
+    loop.runFor(Duration.ofSeconds(20));
+    assertTrue(workers.values().stream().anyMatch(w -> !w.live().isEmpty()));
+    ObjectNode[] answer = new ObjectNode[1];
+    assertEquals(200, call("POST", "/v1/jobs/wk-000001/abort", new byte[0], answer));
+    loop.runFor(Duration.ofSeconds(5));
+    assertTrue(workers.values().stream().allMatch(w -> w.live().isEmpty()));
+    loop.runFor(Duration.ofSeconds(60));
+    assertEquals("withdrawn", state("wk-000001"));
+  }
+
+  /**
+   * Answers lost, requests carried out up to 43 s late, controllers killed at any step. What is late
+   * includes launches, forgets and transactions, so this crosses every step of a launch.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void rulesHoldThroughLossDelayAndCrashes(long seed) throws Exception {
+    random = new Random(seed);
+    controllerCount = 3;
+    for (int i = 0; i < 3; i++) {
+      boot(i);
+    }
+    loop.runFor(Duration.ofSeconds(2));
+    trouble = 0.03;
+    for (int j = 0; j < 6; j++) {
+      submit("wk-00000" + j, 12);
+    }
+    for (int round = 0; round < 40; round++) {
+      int victim = random.nextInt(3);
+      if (controllers.containsKey(victim) && random.nextInt(3) == 0) {
+        kill(victim);
+        loop.after(
+            Duration.ofMillis(2000 + random.nextInt(3000)),
+            () -> {
+              try {
+                boot(victim);
+              } catch (Exception e) {
+                throw new IllegalStateException(e);
+              }
+            });
+      }
+      loop.runFor(Duration.ofMillis(3000 + random.nextInt(5000)));
+      check();
+    }
+    trouble = 0;
+    loop.runFor(Duration.ofSeconds(240));
+    check();
+    assertEquals(Set.of(), broken);
+    for (int j = 0; j < 6; j++) {
+      assertEquals("done", state("wk-00000" + j), "seed " + seed + " job " + j);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/tansystack/sim/SimLoop.java
@@ -0,0 +1,92 @@
+package io.tansystack.sim;
+
+import io.tansystack.http.Loop;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** Simulated time: events run in the order of their moments, and of their making. */
+final class SimLoop implements Loop {
+  private static final class Event implements Timer {
+    final Duration at;
+    final long order;
+    Runnable task;
+
+    Event(Duration at, long order, Runnable task) {
+      this.at = at;
+      this.order = order;
+      this.task = task;
+    }
+
+    @Override
+    public void cancel() {
+      task = null;
+    }
+  }
+
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          Comparator.comparing((Event e) -> e.at).thenComparingLong(e -> e.order));
+  private Duration now = Duration.ofSeconds(1000);
+  private long made;
+
+  @Override
+  public Duration now() {
+    return now;
+  }
+
+  @Override
+  public Timer after(Duration delay, Runnable task) {
+    Event event = new Event(now.plus(delay.isNegative() ? Duration.ZERO : delay), made++, task);
+    events.add(event);
+    return event;
+  }
+
+  @Override
+  public void execute(Runnable task) {
+    after(Duration.ZERO, task);
+  }
+
+  void runFor(Duration time) {
+    Duration end = now.plus(time);
+    while (!events.isEmpty() && events.peek().at.compareTo(end) <= 0) {
+      Event event = events.poll();
+      now = event.at;
+      if (event.task != null) {
+        event.task.run();
+      }
+    }
+    now = end;
+  }
+
+  /** The loop of one process: nothing of it runs after its end. */
+  Mortal process() {
+    return new Mortal();
+  }
+
+  /** A view of the loop that can be killed without a sign. */
+  final class Mortal implements Loop {
+    boolean dead;
+
+    @Override
+    public Duration now() {
+      return SimLoop.this.now();
+    }
+
+    @Override
+    public Timer after(Duration delay, Runnable task) {
+      return SimLoop.this.after(
+          delay,
+          () -> {
+            if (!dead) {
+              task.run();
+            }
+          });
+    }
+
+    @Override
+    public void execute(Runnable task) {
+      after(Duration.ZERO, task);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/tansystack/sim/StandInStore.java
@@ -0,0 +1,184 @@
+package io.tansystack.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.wire.Cbor;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+
+/** A stand-in for the state service, after its published protocol. */
+final class StandInStore {
+  private record Entry(ObjectNode value, long version, long lease) {}
+
+  private record Event(String key, ObjectNode value, long version) {}
+
+  private record Waiting(String prefix, long since, BiConsumer<Integer, ObjectNode> reply) {}
+
+  private final SimLoop loop;
+  final TreeMap<String, JsonNode> values = new TreeMap<>();
+  private final TreeMap<String, Entry> entries = new TreeMap<>();
+  private final List<Event> log = new ArrayList<>();
+  private final List<Waiting> watches = new ArrayList<>();
+  private final Map<Long, Duration> leases = new HashMap<>();
+  private final Map<Long, Long> lives = new HashMap<>();
+  private long revision;
+  private long nextLease = 1;
+
+  StandInStore(SimLoop loop) {
+    this.loop = loop;
+    expire();
+  }
+
+  private void expire() {
+    for (Long lease : List.copyOf(leases.keySet())) {
+      if (loop.now().compareTo(leases.get(lease)) > 0) {
+        leases.remove(lease);
+        List<String> gone = new ArrayList<>();
+        entries.forEach((k, e) -> { if (e.lease == lease) { gone.add(k); } });
+        if (!gone.isEmpty()) {
+          revision++;
+          gone.forEach(k -> put(k, null, 0));
+          wake();
+        }
+      }
+    }
+    loop.after(Duration.ofMillis(50), this::expire);
+  }
+
+  private void put(String key, ObjectNode value, long lease) {
+    if (value == null) {
+      if (entries.remove(key) == null) {
+        return;
+      }
+      values.remove(key);
+    } else {
+      entries.put(key, new Entry(value, revision, lease));
+      values.put(key, value);
+    }
+    log.add(new Event(key, value, revision));
+  }
+
+  private void wake() {
+    for (Waiting w : List.copyOf(watches)) {
+      if (answer(w)) {
+        watches.remove(w);
+      }
+    }
+  }
+
+  private boolean answer(Waiting w) {
+    ObjectNode map = Cbor.map();
+    ArrayNode events = map.putArray("Log");
+    for (Event e : log) {
+      if (e.version > w.since && e.key.startsWith(w.prefix)) {
+        ObjectNode node = events.addObject().put("Stamp", e.version);
+        if (e.value == null) {
+          node.put("Delete", e.key);
+        } else {
+          node.put("Write", e.key).set("Value", e.value);
+        }
+      }
+    }
+    if (events.isEmpty()) {
+      return false;
+    }
+    w.reply.accept(200, map.put("Ledger", revision));
+    return true;
+  }
+
+  private static String query(String path, String name) {
+    for (String part : path.substring(path.indexOf('?') + 1).split("&")) {
+      if (part.startsWith(name + "=")) {
+        return part.substring(name.length() + 1);
+      }
+    }
+    return "";
+  }
+
+  void handle(String method, String path, ObjectNode body, BiConsumer<Integer, ObjectNode> reply) {
+    if (path.startsWith("/store?")) {
+      ObjectNode map = Cbor.map();
+      ArrayNode pairs = map.putArray("Pairs");
+      entries.forEach(
+          (k, e) -> {
+            if (k.startsWith(query(path, "Starts"))) {
+              pairs.addObject().put("Path", k).put("Stamp", e.version).set("Value", e.value);
+            }
+          });
+      reply.accept(200, map.put("HasNext", false).put("Ledger", revision));
+    } else if (path.startsWith("/store/")) {
+      Entry e = entries.get(path.substring(7));
+      if (e == null) {
+        reply.accept(404, Cbor.map().put("Ledger", revision));
+      } else {
+        ObjectNode map = Cbor.map().put("Path", path.substring(7)).put("Stamp", e.version);
+        map.set("Value", e.value);
+        reply.accept(200, map);
+      }
+    } else if (path.startsWith("/watch?")) {
+      Waiting w =
+          new Waiting(query(path, "Starts"), Long.parseLong(query(path, "Since")), reply);
+      if (!answer(w)) {
+        watches.add(w);
+        loop.after(
+            Duration.ofMillis(Long.parseLong(query(path, "HoldMs"))),
+            () -> {
+              if (watches.remove(w)) {
+                ObjectNode map = Cbor.map().put("Ledger", revision);
+                map.putArray("Log");
+                reply.accept(200, map);
+              }
+            });
+      }
+    } else if (path.equals("/commit")) {
+      commit(body, reply);
+    } else if (path.equals("/grants")) {
+      long lease = nextLease++;
+      lives.put(lease, body.get("LifeMs").asLong());
+      leases.put(lease, loop.now().plusMillis(lives.get(lease)));
+      reply.accept(200, Cbor.map().put("Permit", lease));
+    } else if (path.endsWith("/renew")) {
+      long lease = Long.parseLong(path.split("/")[2]);
+      if (leases.containsKey(lease)) {
+        leases.put(lease, loop.now().plusMillis(lives.get(lease)));
+        reply.accept(200, Cbor.map());
+      } else {
+        reply.accept(404, Cbor.map());
+      }
+    } else {
+      throw new IllegalStateException(method + " " + path);
+    }
+  }
+
+  private void commit(ObjectNode body, BiConsumer<Integer, ObjectNode> reply) {
+    for (JsonNode c : body.get("When")) {
+      Entry e = entries.get(c.get("Path").asText());
+      if ((e == null ? 0 : e.version) != c.get("Stamp").asLong()) {
+        reply.accept(409, Cbor.map().put("Ledger", revision));
+        return;
+      }
+    }
+    for (JsonNode w : body.get("Then")) {
+      if (w.has("Permit") && !leases.containsKey(w.get("Permit").asLong())) {
+        reply.accept(400, Cbor.map().put("error", "no such lease"));
+        return;
+      }
+    }
+    revision++;
+    for (JsonNode w : body.get("Then")) {
+      if (w.has("Delete")) {
+        put(w.get("Delete").asText(), null, 0);
+      } else {
+        put(w.get("Write").asText(), (ObjectNode) w.get("Value"), w.path("Permit").asLong());
+      }
+    }
+    reply.accept(200, Cbor.map().put("Ledger", revision));
+    wake();
+  }
+}
--- /dev/null
+++ b/src/test/java/io/tansystack/sim/StandInWorker.java
@@ -0,0 +1,145 @@
+package io.tansystack.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.wire.Report;
+import io.tansystack.wire.TaskId;
+import io.tansystack.wire.TaskReport;
+import io.tansystack.wire.TaskReport.Cause;
+import io.tansystack.wire.TaskReport.State;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** A stand-in for a worker, after the published protocol: tokens, sessions, lease and commands. */
+final class StandInWorker {
+  private final SimLoop loop;
+  final String name;
+  final String address;
+  private final Duration lease;
+  private final Duration run;
+  private final Consumer<StandInWorker> reporter;
+  private final Map<String, TaskReport> tasks = new LinkedHashMap<>();
+  private final List<String> started;
+  long session = 1;
+  private long seq;
+  private long token;
+  private Duration leaseFrom;
+  int target;
+  boolean dead;
+
+  StandInWorker(
+      SimLoop loop,
+      String name,
+      String address,
+      Duration lease,
+      Duration run,
+      List<String> started,
+      Consumer<StandInWorker> reporter) {
+    this.loop = loop;
+    this.name = name;
+    this.address = address;
+    this.lease = lease;
+    this.run = run;
+    this.started = started;
+    this.reporter = reporter;
+    this.leaseFrom = loop.now();
+    tick();
+  }
+
+  private void tick() {
+    if (dead) {
+      return;
+    }
+    if (loop.now().minus(leaseFrom).compareTo(lease) > 0) {
+      tasks.clear();
+      session++;
+      leaseFrom = loop.now();
+    }
+    loop.after(Duration.ofMillis(200), this::tick);
+  }
+
+  Report report() {
+    return new Report(
+        name, address, "small", "a", false, session, ++seq, token, null,
+        new ArrayList<>(tasks.values()));
+  }
+
+  /** An answer to a report sent at a moment in a session. */
+  void answered(int status, ObjectNode body, Duration sentAt, long sentSession) {
+    if (status == 200 && sentSession == session && body.path("Baton").asLong() >= token) {
+      token = body.path("Baton").asLong();
+      leaseFrom = sentAt;
+    }
+  }
+
+  int orders(ObjectNode body) {
+    if (body.get("Baton").asLong() < token || body.get("Shift").asLong() != session) {
+      return 409;
+    }
+    token = body.get("Baton").asLong();
+    for (JsonNode c : body.get("Signals")) {
+      String id = c.get("Wagon").asText();
+      long attempt = c.get("Departure").asLong();
+      String key = id + "#" + attempt;
+      switch (c.get("Aspect").asText()) {
+        case "launch" -> launch(id, attempt, key);
+        case "halt" -> end(key, Cause.STOPPED);
+        default -> {
+          TaskReport t = tasks.get(key);
+          if (t != null && t.exited()) {
+            tasks.remove(key);
+          }
+        }
+      }
+    }
+    return 200;
+  }
+
+  private void launch(String id, long attempt, String key) {
+    if (tasks.containsKey(key)) {
+      return;
+    }
+    TaskId task = new TaskId(id.substring(0, id.indexOf('/')), Integer.parseInt(id.substring(id.indexOf('/') + 1)));
+    boolean busy =
+        tasks.values().stream().anyMatch(t -> t.task().equals(task) && !t.exited());
+    long live = tasks.values().stream().filter(t -> !t.exited()).count();
+    if (busy || live >= 4) {
+      tasks.put(
+          key, new TaskReport(task, attempt, State.EXITED, busy ? Cause.BUSY : Cause.NO_ROOM, false));
+      return;
+    }
+    tasks.put(key, new TaskReport(task, attempt, State.RUNNING, null, false));
+    started.add(id + "@" + name);
+    long inSession = session;
+    loop.after(
+        run,
+        () -> {
+          if (!dead && session == inSession) {
+            end(key, Cause.DONE);
+          }
+        });
+    reporter.accept(this);
+  }
+
+  private void end(String key, Cause cause) {
+    TaskReport t = tasks.get(key);
+    if (t != null && !t.exited()) {
+      tasks.put(key, new TaskReport(t.task(), t.attempt(), State.EXITED, cause, false));
+    }
+  }
+
+  boolean holds(String task) {
+    return !dead
+        && tasks.values().stream().anyMatch(t -> !t.exited() && t.task().toString().equals(task));
+  }
+
+  List<String> live() {
+    return dead
+        ? List.of()
+        : tasks.values().stream().filter(t -> !t.exited()).map(t -> t.task().toString()).toList();
+  }
+}
