--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -116,7 +116,8 @@
             this::viewOfOwn);
     this.jobs =
         new JobDuty(
-            loop, store, world, lease, slots, settings, views::get, types::get, this::booting);
+            loop, store, world, lease, slots, settings, views::get, types::get, this::booting,
+            clock);
     this.fleet =
         new FleetDuty(
             loop, caller, store, world, lease, slots, types, settings, operator, desk, views::get,
--- a/src/main/java/io/tansystack/jobs/JobDuty.java
+++ b/src/main/java/io/tansystack/jobs/JobDuty.java
@@ -13,6 +13,7 @@
 import io.tansystack.schedule.Snapshot.JobState;
 import io.tansystack.schedule.Snapshot.MachineState;
 import io.tansystack.settings.PlatformSettings;
+import io.tansystack.settings.PlatformSettings.Objective;
 import io.tansystack.settings.PlatformSettings.Team;
 import io.tansystack.store.StoreClient;
 import io.tansystack.store.StoreClient.Result;
@@ -27,6 +28,7 @@
 import io.tansystack.workers.Proofs;
 import io.tansystack.workers.View;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -75,6 +77,11 @@
   private final Function<String, View> views;
   private final Function<String, MachineType> types;
   private final Supplier<List<MachineState>> booting;
+  private final InstantSource clock;
+
+  /** How long a job waits for others to end by themselves before it has them stopped. */
+  private final Map<String, Long> patienceMs = new HashMap<>();
+
   private final Map<String, Team> teams = new HashMap<>();
   private final Map<String, Pending> pending = new HashMap<>();
   private final Map<String, Duration> lastWrite = new HashMap<>();
@@ -98,8 +105,15 @@
       PlatformSettings settings,
       Function<String, View> views,
       Function<String, MachineType> types,
-      Supplier<List<MachineState>> booting) {
+      Supplier<List<MachineState>> booting,
+      InstantSource clock) {
     this.booting = booting;
+    this.clock = clock;
+    for (Objective aim : settings.objectives()) {
+      if (aim.kind().equals("wait") && aim.jobClass() != null) {
+        patienceMs.put(aim.jobClass(), Math.min(2000, aim.within().toMillis() * 2 / 5));
+      }
+    }
     this.loop = loop;
     this.store = store;
     this.world = world;
@@ -196,6 +210,7 @@
       }
     }
     Duration now = loop.now();
+    long wallMs = clock.millis();
     List<JobState> jobs = new ArrayList<>();
     for (Map.Entry<String, JobRecord> entry : effective.entrySet()) {
       if (entry.getValue().spec() == null) {
@@ -209,7 +224,10 @@
         avoid = Set.copyOf(trouble.avoid.keySet());
         waiting &= now.compareTo(trouble.notBefore) >= 0;
       }
-      jobs.add(new JobState(entry.getKey(), entry.getValue(), waiting, avoid));
+      JobRecord record = entry.getValue();
+      boolean impatient =
+          wallMs - record.submittedMs() >= patienceMs.getOrDefault(record.spec().jobClass(), 1000L);
+      jobs.add(new JobState(entry.getKey(), record, waiting, impatient, avoid));
     }
     return new Snapshot(machines, booting.get(), jobs, teams);
   }
--- a/src/main/java/io/tansystack/schedule/Planner.java
+++ b/src/main/java/io/tansystack/schedule/Planner.java
@@ -541,7 +541,8 @@
         left--;
       }
     }
-    boolean mayPreempt = spec.priority() != Priority.LOW || guaranteed.contains(job.id());
+    boolean mayPreempt =
+        job.impatient() && (spec.priority() != Priority.LOW || guaranteed.contains(job.id()));
     while (left > 0 && mayPreempt) {
       Room best = null;
       List<Victim> bestVictims = null;
@@ -604,7 +605,8 @@
     }
     eligible.sort(
         Comparator.comparingInt((Held h) -> -h.job().record().spec().priority().ordinal())
-            .thenComparingLong(h -> -h.job().record().submittedMs()));
+            .thenComparingLong(h -> -h.job().record().submittedMs())
+            .thenComparingLong(h -> -h.placement().attempt()));
     List<Victim> victims = new ArrayList<>();
     for (Held held : eligible) {
       JobSpec s = held.job().record().spec();
--- a/src/main/java/io/tansystack/schedule/Snapshot.java
+++ b/src/main/java/io/tansystack/schedule/Snapshot.java
@@ -53,7 +53,9 @@
    * A job as the plan sees it: its record with all proofs taken in.
    *
    * @param waiting whether its unplaced tasks may be placed by this pass
+   * @param impatient whether it has waited long enough to have others stopped for it
    * @param avoid machines where it lately failed or was refused
    */
-  public record JobState(String id, JobRecord record, boolean waiting, Set<String> avoid) {}
+  public record JobState(
+      String id, JobRecord record, boolean waiting, boolean impatient, Set<String> avoid) {}
 }
--- a/src/test/java/io/tansystack/sim/ClusterTest.java
+++ b/src/test/java/io/tansystack/sim/ClusterTest.java
@@ -18,7 +18,7 @@
 import io.tansystack.wire.Shape;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.time.InstantSource;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -86,7 +86,7 @@
             caller(process),
             settings(index),
             OperatorSettings.defaults(),
-            InstantSource.system(),
+            () -> Instant.ofEpochMilli(loop.now().toMillis()),
             new Random(random.nextLong()));
     processes.put(index, process);
     controllers.put(index, controller);
