--- a/src/main/java/io/tansystack/cli/Main.java
+++ b/src/main/java/io/tansystack/cli/Main.java
@@ -39,8 +39,14 @@
       description = "check the settings and exit: 0 if they are usable, 2 with the key if not")
   private boolean checkOnly;
 
+  @Option(
+      names = "--exit-after",
+      paramLabel = "SECONDS",
+      description = "run for so long and exit with 0: the build makes the class-data archive this way")
+  private Double exitAfterS;
+
   @Override
-  public Integer call() {
+  public Integer call() throws InterruptedException {
     try {
       Logging.configure(System.getenv("LOG_LEVEL"));
       PlatformSettings platform = PlatformSettings.load(config);
@@ -51,6 +57,10 @@
         return 0;
       }
       ControllerProcess.run(platform, operator);
+      if (exitAfterS != null) {
+        Thread.sleep((long) (exitAfterS * 1000));
+        return 0;
+      }
       return RUNNING;
     } catch (SettingsException e) {
       System.err.println("tansystack: " + e.getMessage());
--- a/src/main/java/io/tansystack/jobs/UserApi.java
+++ b/src/main/java/io/tansystack/jobs/UserApi.java
@@ -187,23 +187,43 @@
 
   /** A job that was accepted once is answered for ever, whatever the body of a repetition holds. */
   private void answerKnown(String id, int statusIfUnknown, String why, Once once) {
+    read(
+        id,
+        once,
+        () -> {
+          if (statusIfUnknown != 0) {
+            once.send(statusIfUnknown, Answers.error(why));
+          } else {
+            once.unsure("try again");
+          }
+        },
+        (record, version) -> once.send(200, Answers.job(id, record.state())));
+  }
+
+  /** What a strong read found: the record and its version. */
+  private interface Found {
+    void take(JobRecord record, long version);
+  }
+
+  private void read(String id, Once once, Runnable absent, Found found) {
     store.get(
         World.jobKey(id),
         new Got() {
           @Override
           public void value(Change change) {
+            if (change == null) {
+              absent.run();
+              return;
+            }
+            JobRecord record;
             try {
-              if (change != null) {
-                once.send(200, Answers.job(id, JobRecord.read(change.value()).state()));
-              } else if (statusIfUnknown != 0) {
-                once.send(statusIfUnknown, Answers.error(why));
-              } else {
-                once.unsure("try again");
-              }
+              record = JobRecord.read(change.value());
             } catch (BadInput e) {
               log.error("record of job={} is unreadable: {}", id, e.getMessage());
               once.unsure("the record is unreadable");
+              return;
             }
+            found.take(record, change.version());
           }
 
           @Override
@@ -213,6 +233,10 @@
         });
   }
 
+  private static void noSuchJob(Once once) {
+    once.send(404, Answers.error("no such job"));
+  }
+
   /** {@code GET /v1/jobs/ID}. */
   public void poll(String id, Reply reply) {
     if (!JobSpec.validId(id)) {
@@ -227,31 +251,18 @@
       return;
     }
     Once once = new Once(reply);
-    store.get(
-        World.jobKey(id),
-        new Got() {
-          @Override
-          public void value(Change change) {
-            if (change == null) {
-              once.send(404, Answers.error("no such job"));
-              return;
-            }
-            try {
-              JobRecord record = JobRecord.read(change.value());
-              int running = record.active() ? record.placedCount() : 0;
-              once.send(
-                  200, Answers.progress(id, record.state(), record.done().size(), running));
-            } catch (BadInput e) {
-              log.error("record of job={} is unreadable: {}", id, e.getMessage());
-              once.unsure("the record is unreadable");
-            }
-          }
-
-          @Override
-          public void failed() {
-            once.unsure("the state service did not answer");
-          }
-        });
+    read(
+        id,
+        once,
+        () -> noSuchJob(once),
+        (record, version) ->
+            once.send(
+                200,
+                Answers.progress(
+                    id,
+                    record.state(),
+                    record.done().size(),
+                    record.active() ? record.placedCount() : 0)));
   }
 
   /** {@code POST /v1/jobs/ID/abort}. */
@@ -276,46 +287,30 @@
       once.unsure("the record keeps changing");
       return;
     }
-    String key = World.jobKey(id);
-    store.get(
-        key,
-        new Got() {
-          @Override
-          public void value(Change change) {
-            if (change == null) {
-              once.send(404, Answers.error("no such job"));
-              return;
-            }
-            try {
-              JobRecord record = JobRecord.read(change.value());
-              if (!record.active()) {
-                once.send(200, Answers.job(id, record.state()));
-                return;
-              }
-              store.commitUrgent(
-                  List.of(new Condition(key, change.version())),
-                  List.of(new Write(key, record.cancelled().write(), 0)),
-                  SUBMIT_WAIT,
-                  (result, revision) -> {
-                    switch (result) {
-                      case DONE -> {
-                        log.info("cancelled job={} placed={}", id, record.placedCount());
-                        once.send(200, Answers.job(id, JobState.CANCELLED));
-                      }
-                      case CONFLICT -> tryCancel(id, tries - 1, once);
-                      default -> once.unsure("the state service did not confirm");
-                    }
-                  });
-            } catch (BadInput e) {
-              log.error("record of job={} is unreadable: {}", id, e.getMessage());
-              once.unsure("the record is unreadable");
-            }
-          }
-
-          @Override
-          public void failed() {
-            once.unsure("the state service did not answer");
+    read(
+        id,
+        once,
+        () -> noSuchJob(once),
+        (record, version) -> {
+          if (!record.active()) {
+            once.send(200, Answers.job(id, record.state()));
+            return;
           }
+          String key = World.jobKey(id);
+          store.commitUrgent(
+              List.of(new Condition(key, version)),
+              List.of(new Write(key, record.cancelled().write(), 0)),
+              SUBMIT_WAIT,
+              (result, revision) -> {
+                switch (result) {
+                  case DONE -> {
+                    log.info("cancelled job={} placed={}", id, record.placedCount());
+                    once.send(200, Answers.job(id, JobState.CANCELLED));
+                  }
+                  case CONFLICT -> tryCancel(id, tries - 1, once);
+                  default -> once.unsure("the state service did not confirm");
+                }
+              });
         });
   }
 }
--- a/src/main/java/io/tansystack/settings/TomlTable.java
+++ b/src/main/java/io/tansystack/settings/TomlTable.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import io.tansystack.wire.Addresses;
+import io.tansystack.wire.BadInput;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -145,17 +147,10 @@
   }
 
   InetSocketAddress address(String name) throws SettingsException {
-    String text = text(name);
-    int colon = text.lastIndexOf(':');
     try {
-      int port = Integer.parseInt(text.substring(colon + 1));
-      String host = text.substring(0, Math.max(colon, 0));
-      if (!host.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}")) {
-        throw new SettingsException(key(name) + ": host is not an IPv4 number: " + text);
-      }
-      return new InetSocketAddress(host, port);
-    } catch (IllegalArgumentException e) {
-      throw new SettingsException(key(name) + ": not host:port: " + text);
+      return Addresses.parse(text(name));
+    } catch (BadInput e) {
+      throw new SettingsException(key(name) + ": " + e.getMessage());
     }
   }
 
--- /dev/null
+++ b/src/main/java/io/tansystack/wire/Addresses.java
@@ -0,0 +1,20 @@
+package io.tansystack.wire;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import java.net.InetSocketAddress;
+
+/** Addresses as all interfaces write them: an IP number and a port. Names are never looked up. */
+public final class Addresses {
+  private Addresses() {}
+
+  public static InetSocketAddress parse(String text) throws BadInput {
+    try {
+      HostAndPort address = HostAndPort.fromString(text);
+      return new InetSocketAddress(
+          InetAddresses.forString(address.getHost()), address.getPort());
+    } catch (IllegalArgumentException | IllegalStateException e) {
+      throw new BadInput("not an IP number and a port: " + text);
+    }
+  }
+}
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -12,6 +12,7 @@
 import io.tansystack.schedule.MachineHistory;
 import io.tansystack.store.StoreClient;
 import io.tansystack.store.StoreClient.Result;
+import io.tansystack.wire.Addresses;
 import io.tansystack.wire.Answers;
 import io.tansystack.wire.BadInput;
 import io.tansystack.wire.Cbor;
@@ -195,7 +196,12 @@
       return;
     }
     machine.latest = report;
-    machine.address = address(report.address());
+    try {
+      machine.address = Addresses.parse(report.address());
+    } catch (BadInput e) {
+      log.warn("machine={} can't be given commands: {}", machine.name, e.getMessage());
+      machine.address = null;
+    }
     machine.history.observe(report, loop.now(), this::spec);
   }
 
@@ -204,18 +210,6 @@
     return known == null ? null : known.record().spec();
   }
 
-  private static InetSocketAddress address(String text) {
-    int colon = text.lastIndexOf(':');
-    try {
-      String host = text.substring(0, Math.max(0, colon));
-      return host.matches("[0-9.]+")
-          ? new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)))
-          : null;
-    } catch (IllegalArgumentException e) {
-      return null;
-    }
-  }
-
   /**
    * A worker that is not ours: it is sent to its owner if that one lives and is no worse for its
    * zone, and claimed if there is none or if it keeps coming although it was sent away.
