--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -93,7 +93,7 @@
             loop,
             label,
             settings.peers(),
-            lease::valid,
+            this::useful,
             this::viewFromPeer,
             this::fleetNews,
             this::heardOfFleet);
@@ -244,8 +244,18 @@
     if (!world.loaded() || !lease.registered()) {
       return false;
     }
-    boolean fresh =
-        loop.now().minus(store.lastSuccess()).compareTo(Duration.ofMillis(3500)) < 0;
-    return fresh || !peers.somePeerValid();
+    return storeAnswers() || !peers.somePeerValid();
+  }
+
+  private boolean storeAnswers() {
+    return loop.now().minus(store.lastSuccess()).compareTo(Duration.ofMillis(3500)) < 0;
+  }
+
+  /**
+   * What the peers are told. A controller that the state service alone has left says so long before
+   * its lease ends: it can't place anything, and others can take its slots at once.
+   */
+  private boolean useful() {
+    return lease.valid() && storeAnswers();
   }
 }
--- a/src/test/java/io/tansystack/sim/ClusterTest.java
+++ b/src/test/java/io/tansystack/sim/ClusterTest.java
@@ -51,6 +51,9 @@
   private Random random = new Random(1);
   private int controllerCount = 1;
 
+  /** The controller that the state service alone refuses; -1 for none. */
+  private int refused = -1;
+
   /** How often an exchange goes wrong. */
   private double trouble;
 
@@ -83,7 +86,7 @@
     Controller controller =
         new Controller(
             process,
-            caller(process),
+            caller(process, index),
             settings(index),
             OperatorSettings.defaults(),
             () -> Instant.ofEpochMilli(loop.now().toMillis()),
@@ -99,8 +102,12 @@
   }
 
   /** Carries requests to the stand-ins and controllers, with delays, losses and late deliveries. */
-  private HttpCaller caller(SimLoop.Mortal from) {
+  private HttpCaller caller(SimLoop.Mortal from, int index) {
     return (to, method, path, body, timeout, outcome) -> {
+      if (to.equals(STORE) && index == refused) {
+        from.execute(() -> outcome.answer(503, Cbor.encode(Cbor.map())));
+        return;
+      }
       boolean[] over = {false};
       from.after(
           timeout,
@@ -364,6 +371,30 @@
     assertEquals("withdrawn", state("wk-000001"));
   }
 
+  /** Its peers take its slots long before its lease of 17.5 s has ended. */
+  @Test
+  void theSlotsOfOneThatTheStateServiceRefusesAreTakenSoon() throws Exception {
+    controllerCount = 3;
+    for (int i = 0; i < 3; i++) {
+      boot(i);
+    }
+    loop.runFor(Duration.ofSeconds(15));
+    assertTrue(slotsOf("c-1") > 0);
+    refused = 1;
+    loop.runFor(Duration.ofSeconds(9));
+    assertEquals(0, slotsOf("c-1"));
+    refused = -1;
+    loop.runFor(Duration.ofSeconds(30));
+    assertTrue(slotsOf("c-1") > 0, "it gets its share back");
+  }
+
+  private long slotsOf(String label) {
+    return store.values.entrySet().stream()
+        .filter(e -> e.getKey().startsWith("ts/slots/"))
+        .filter(e -> e.getValue().get("label").asText().equals(label))
+        .count();
+  }
+
   /**
    * Answers lost, requests carried out up to 43 s late, controllers killed at any step. What is late
    * includes launches, forgets and transactions, so this crosses every step of a launch.
