--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -43,6 +43,7 @@
 
   private final Loop loop;
   private final PlatformSettings settings;
+  private final String boot;
   private final World world;
   private final StoreClient store;
   private final Watcher watcher;
@@ -68,8 +69,9 @@
       Random random) {
     this.loop = loop;
     this.settings = settings;
+    this.latencies = new Latencies(loop);
     String label = settings.label();
-    String boot = Long.toHexString(random.nextLong());
+    this.boot = Long.toHexString(random.nextLong());
     double writes = settings.store().writeRps();
     int size = settings.size();
     double share = size == 1 ? writes : Math.min(writes, writes / size * OVERCOMMIT);
@@ -83,7 +85,13 @@
     this.world = new World(this::worldChanged);
     double watches = settings.store().rps() * 0.4 / size;
     this.watcher =
-        new Watcher(store, loop, World.PREFIX, Duration.ofMillis((long) (1000 / watches)), world);
+        new Watcher(
+            store,
+            loop,
+            World.PREFIX,
+            Duration.ofMillis((long) (1000 / watches)),
+            world,
+            this::synced);
     Duration life =
         OwnLease.lifeFor(settings.workers().cancel(), settings.workers().lease());
     this.lease = new OwnLease(store, loop, label, boot, settings.zone(), life, watcher);
@@ -110,6 +118,7 @@
             boot,
             settings.zone(),
             settings.workers().lease(),
+            writes,
             peers::looksDown,
             types::get,
             views::get,
@@ -117,12 +126,12 @@
     this.jobs =
         new JobDuty(
             loop, store, world, lease, slots, settings, views::get, types::get, this::booting,
-            clock);
+            pass -> latencies.measure("pass", pass), clock);
     this.fleet =
         new FleetDuty(
             loop, caller, store, world, lease, slots, types, settings, operator, desk, views::get,
             jobs);
-    this.users = new UserApi(store, world, settings, clock, types::all);
+    this.users = new UserApi(loop, store, world, settings, clock, types::all);
     this.overseer =
         new Overseer(
             loop,
@@ -130,7 +139,6 @@
             world,
             slots,
             id -> jobs.lastPlan().unmet().stream().anyMatch(u -> u.job().equals(id)));
-    this.latencies = new Latencies(loop);
     log.info("controller {} boot {} in {}: acts for {} after it is cut off", label, boot, settings.zone(), life);
   }
 
@@ -150,7 +158,7 @@
     loop.after(Duration.ofMillis(500), this::tick);
     desk.tick();
     if (world.loaded()) {
-      if (!world.controllers().containsKey(settings.label())) {
+      if (world.revision() >= lease.registeredAt() && !world.alive(settings.label(), boot)) {
         lease.recordLost();
       }
       views.keySet().removeIf(name -> world.machine(name) == null && desk.silentFor(name) == null);
@@ -169,12 +177,21 @@
         latencies.summary());
   }
 
-  private void worldChanged() {
-    slots.turn();
-    desk.worldChanged();
+  private void worldChanged(World.Touched touched) {
+    latencies.measure(
+        "change",
+        () -> {
+          slots.turn();
+          jobs.touched(touched);
+          desk.worldChanged(touched.machines());
+        });
     jobs.wake();
   }
 
+  private void synced(Duration at) {
+    users.synced(at);
+  }
+
   private ObjectNode fleetNews() {
     return fleet.news();
   }
@@ -203,7 +220,7 @@
     View old = views.get(view.report().machine());
     if (old == null || view.newerThan(old)) {
       views.put(view.report().machine(), view);
-      jobs.wake();
+      jobs.viewChanged(view.report().machine(), old == null || !view.provesTheSame(old));
     }
   }
 
@@ -233,7 +250,7 @@
 
   /** Serves the peer address. */
   public void peer(String method, String path, byte[] body, Reply reply) {
-    peers.handle(method, path, body, reply);
+    latencies.measure("peer", () -> peers.handle(method, path, body, reply));
   }
 
   /**
--- a/src/main/java/io/tansystack/cli/Latencies.java
+++ b/src/main/java/io/tansystack/cli/Latencies.java
@@ -7,7 +7,7 @@
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 
-/** How long answers take, by kind, summed up now and then in one line. */
+/** How long answers and the loop's duties take, by kind, summed up now and then in one line. */
 final class Latencies {
   private static final long HIGHEST_MICROS = 60_000_000;
   private final Loop loop;
@@ -21,14 +21,25 @@
   Reply timed(String kind, Reply reply) {
     Duration since = loop.now();
     return (status, body, retryAfterS) -> {
-      long micros = loop.now().minus(since).toNanos() / 1000;
-      kinds
-          .computeIfAbsent(kind, k -> new Histogram(HIGHEST_MICROS, 2))
-          .recordValue(Math.max(0, Math.min(HIGHEST_MICROS, micros)));
+      record(kind, since);
       reply.send(status, body, retryAfterS);
     };
   }
 
+  /** Runs a duty of the loop and records how long it held the loop up. */
+  void measure(String kind, Runnable duty) {
+    Duration since = loop.now();
+    duty.run();
+    record(kind, since);
+  }
+
+  private void record(String kind, Duration since) {
+    long micros = loop.now().minus(since).toNanos() / 1000;
+    kinds
+        .computeIfAbsent(kind, k -> new Histogram(HIGHEST_MICROS, 2))
+        .recordValue(Math.max(0, Math.min(HIGHEST_MICROS, micros)));
+  }
+
   /** Count, median, 99th percentile and maximum of each kind in milliseconds; starts anew. */
   String summary() {
     StringBuilder text = new StringBuilder();
--- a/src/main/java/io/tansystack/cluster/OwnLease.java
+++ b/src/main/java/io/tansystack/cluster/OwnLease.java
@@ -34,6 +34,7 @@
   private final Watcher watcher;
   private long lease;
   private boolean registered;
+  private long registeredAt;
   private Duration renewedAt;
 
   public OwnLease(
@@ -116,6 +117,7 @@
         (result, revision) -> {
           registered = result == Result.DONE;
           if (registered) {
+            registeredAt = revision;
             log.info("registered as {} boot {} under lease {}", label, boot, lease);
           } else if (result == Result.NO_LEASE) {
             lease = 0;
@@ -123,7 +125,12 @@
         });
   }
 
-  /** The record vanished though the lease is thought to live: write it again. */
+  /** The revision of the own record's last writing. */
+  public long registeredAt() {
+    return registeredAt;
+  }
+
+  /** The record is gone or another's though the lease is thought to live: write it again. */
   public void recordLost() {
     if (registered && lease != 0) {
       registered = false;
--- a/src/main/java/io/tansystack/cluster/PeerLink.java
+++ b/src/main/java/io/tansystack/cluster/PeerLink.java
@@ -49,9 +49,26 @@
   private final Consumer<ObjectNode> fleetNewsReceived;
   private final Map<String, Link> links = new LinkedHashMap<>();
 
+  /** A view on its way; it is encoded once for all peers, and not at all if a newer one replaces it. */
+  private final class Outgoing {
+    final View view;
+    private byte[] encoded;
+
+    Outgoing(View view) {
+      this.view = view;
+    }
+
+    byte[] encoded() {
+      if (encoded == null) {
+        encoded = encode(view.write());
+      }
+      return encoded;
+    }
+  }
+
   private static final class Link {
     final Peer peer;
-    final Map<String, View> pending = new LinkedHashMap<>();
+    final Map<String, Outgoing> pending = new LinkedHashMap<>();
     boolean inFlight;
     boolean scheduled;
     boolean said = true;
@@ -94,8 +111,9 @@
 
   /** Passes a view on; views of the same machine that wait are replaced. */
   public void publish(View view) {
+    Outgoing outgoing = new Outgoing(view);
     for (Link link : links.values()) {
-      link.pending.put(view.report().machine(), view);
+      link.pending.put(view.report().machine(), outgoing);
       if (!link.scheduled) {
         link.scheduled = true;
         loop.after(
@@ -118,23 +136,20 @@
       message.set("fleet", fleet);
     }
     ArrayNode views = message.putArray("views");
-    Map<String, View> batch = new HashMap<>();
+    Map<String, Outgoing> batch = new HashMap<>();
+    int bytes = 0;
     var iterator = link.pending.entrySet().iterator();
-    while (iterator.hasNext() && views.size() < MAX_BATCH) {
-      View view = iterator.next().getValue();
-      views.add(view.write());
-      batch.put(view.report().machine(), view);
+    while (iterator.hasNext() && views.size() < MAX_BATCH && bytes < MAX_BODY / 2) {
+      Outgoing next = iterator.next().getValue();
+      views.add(next.encoded());
+      bytes += next.encoded().length;
+      batch.put(next.view.report().machine(), next);
       iterator.remove();
     }
     if (views.isEmpty() && loop.now().minus(link.sentAt).compareTo(BEAT.minusMillis(50)) < 0) {
       return;
     }
-    byte[] body;
-    try {
-      body = msgpack.writeValueAsBytes(message);
-    } catch (JsonProcessingException e) {
-      throw new IllegalStateException("a tree always encodes", e);
-    }
+    byte[] body = encode(message);
     link.inFlight = true;
     link.sentAt = loop.now();
     caller.call(
@@ -167,6 +182,14 @@
         });
   }
 
+  private byte[] encode(JsonNode tree) {
+    try {
+      return msgpack.writeValueAsBytes(tree);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a tree always encodes", e);
+    }
+  }
+
   /** Serves the peer address. */
   public void handle(String method, String path, byte[] body, HttpServer.Reply reply) {
     try {
@@ -182,7 +205,7 @@
         fleetNewsReceived.accept(Read.map(message, "fleet"));
       }
       for (JsonNode view : Read.list(message, "views")) {
-        received.accept(View.read(Read.map(view, "views")));
+        received.accept(View.read(Read.map(msgpack.readTree(view.binaryValue()), "views")));
       }
       reply.send(200, new byte[0]);
     } catch (IOException | BadInput | RuntimeException e) {
--- a/src/main/java/io/tansystack/cluster/World.java
+++ b/src/main/java/io/tansystack/cluster/World.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -41,11 +42,10 @@
   /** Who schedules a slot's jobs, or holds the fleet duty. */
   public record Holder(String label, String boot, long version) {}
 
-  /** A machine's record. Its version is the worker's token. */
+  /** A machine's record. */
   public record MachineRecord(
       String name,
       String owner,
-      String boot,
       String address,
       String type,
       String zone,
@@ -55,10 +55,20 @@
 
     public ObjectNode write() {
       ObjectNode map = Cbor.map();
-      map.put("owner", owner).put("boot", boot).put("addr", address).put("type", type);
+      map.put("owner", owner).put("addr", address).put("type", type);
       map.put("zone", zone).put("spot", spot).put("drain", drain);
       return map;
     }
+
+    /** As it is to be written by a new owner; the version comes with the write. */
+    public MachineRecord ownedBy(String label) {
+      return new MachineRecord(name, label, address, type, zone, spot, drain, 0);
+    }
+
+    /** As it is to be written when the machine is to be emptied. */
+    public MachineRecord draining() {
+      return new MachineRecord(name, owner, address, type, zone, spot, true, 0);
+    }
   }
 
   /** A job's record with its version. */
@@ -71,6 +81,14 @@
   /** A placement together with its job. */
   public record Placed(Job job, Placement placement) {}
 
+  /**
+   * What a batch of changes concerns, so that nothing else need be looked at again.
+   *
+   * @param machines machines whose record changed, or what is recorded on them
+   * @param controllers whether controllers came, went or started anew
+   */
+  public record Touched(Set<String> jobs, Set<String> machines, boolean controllers) {}
+
   private final Map<String, ControllerRecord> controllers = new TreeMap<>();
   private final Holder[] slots = new Holder[SLOTS];
   private final Map<String, Job> jobs = new TreeMap<>();
@@ -80,11 +98,14 @@
   private ObjectNode types;
   private final LinkedHashMap<String, JobRecord.Phase> finals = new LinkedHashMap<>();
   private final Map<String, Long> versions = new HashMap<>();
-  private Map<String, List<Placed>> byMachine = Map.of();
+  private final Map<String, List<Placed>> byMachine = new HashMap<>();
+  private Set<String> touchedJobs = new HashSet<>();
+  private Set<String> touchedMachines = new HashSet<>();
+  private boolean touchedControllers;
   private long revision = -1;
-  private final Runnable changed;
+  private final Consumer<Touched> changed;
 
-  public World(Runnable changed) {
+  public World(Consumer<Touched> changed) {
     this.changed = changed;
   }
 
@@ -131,8 +152,7 @@
     }
     all.forEach(this::apply);
     revision = Math.max(revision, atRevision);
-    reindex();
-    changed.run();
+    tell();
   }
 
   @Override
@@ -142,8 +162,15 @@
       return;
     }
     changes.forEach(this::apply);
-    reindex();
-    changed.run();
+    tell();
+  }
+
+  private void tell() {
+    Touched touched = new Touched(touchedJobs, touchedMachines, touchedControllers);
+    touchedJobs = new HashSet<>();
+    touchedMachines = new HashSet<>();
+    touchedControllers = false;
+    changed.accept(touched);
   }
 
   private void apply(Change change) {
@@ -168,14 +195,16 @@
     String kind = slash < 0 ? key : key.substring(0, slash);
     String name = key.substring(slash + 1);
     switch (kind) {
-      case "controllers" ->
-          put(
-              controllers,
-              name,
-              value == null
-                  ? null
-                  : new ControllerRecord(
-                      Read.text(value, "boot"), Read.text(value, "zone"), version));
+      case "controllers" -> {
+        put(
+            controllers,
+            name,
+            value == null
+                ? null
+                : new ControllerRecord(
+                    Read.text(value, "boot"), Read.text(value, "zone"), version));
+        touchedControllers = true;
+      }
       case "slots" -> {
         int slot = Integer.parseInt(name);
         if (slot >= 0 && slot < SLOTS) {
@@ -185,14 +214,18 @@
       case "fleet" -> fleet = readHolder(value, version);
       case "types" -> types = value;
       case "teams" -> put(teams, key.substring(slash + 1), value == null ? null : version);
-      case "machines" -> put(machines, name, value == null ? null : readMachine(name, value, version));
+      case "machines" -> {
+        put(machines, name, value == null ? null : readMachine(name, value, version));
+        touchedMachines.add(name);
+      }
       case "jobs" -> {
         String id = name.substring(name.indexOf('/') + 1);
         if (value == null) {
-          jobs.remove(id);
+          keep(id, null);
           return;
         }
-        JobRecord record = JobRecord.read(value);
+        Job before = jobs.get(id);
+        JobRecord record = JobRecord.read(value, before == null ? null : before.record().spec());
         if (!record.active()) {
           finals.put(id, record.phase());
           if (finals.size() > MAX_FINALS) {
@@ -200,10 +233,10 @@
           }
         }
         if (record.spec() == null) {
-          jobs.remove(id);
+          keep(id, null);
           versions.remove(jobKey(id));
         } else {
-          jobs.put(id, new Job(record, version, slotOf(id)));
+          keep(id, new Job(record, version, slotOf(id)));
         }
       }
       default -> log.debug("unknown record {}", key);
@@ -221,7 +254,6 @@
     return new MachineRecord(
         name,
         Read.text(value, "owner"),
-        Read.text(value, "boot"),
         Read.text(value, "addr"),
         Read.text(value, "type"),
         Read.text(value, "zone"),
@@ -238,16 +270,27 @@
     }
   }
 
-  private void reindex() {
-    Map<String, List<Placed>> index = new HashMap<>();
-    for (Job job : jobs.values()) {
+  /** Replaces what is known of a job (null: nothing), and what is recorded on its machines. */
+  private void keep(String id, Job job) {
+    Job old = job == null ? jobs.remove(id) : jobs.put(id, job);
+    touchedJobs.add(id);
+    if (old != null) {
+      for (Placement placement : old.record().placements()) {
+        List<Placed> on = byMachine.get(placement.machine());
+        if (on != null && on.removeIf(placed -> placed.job() == old) && on.isEmpty()) {
+          byMachine.remove(placement.machine());
+        }
+        touchedMachines.add(placement.machine());
+      }
+    }
+    if (job != null) {
       for (Placement placement : job.record().placements()) {
-        index
+        byMachine
             .computeIfAbsent(placement.machine(), k -> new ArrayList<>())
             .add(new Placed(job, placement));
+        touchedMachines.add(placement.machine());
       }
     }
-    byMachine = index;
   }
 
   public long revision() {
@@ -304,6 +347,22 @@
     return byMachine.getOrDefault(machine, List.of());
   }
 
+  /**
+   * The token under which the machine's owner gives commands: the version of the machine's record, or
+   * of the owner's own if that is later. So every claim has a higher token than all before, and so has
+   * every start of the owner's process, without a write for each of its machines: claiming hundreds of
+   * machines anew after a restart would use up the write limit for many seconds.
+   */
+  public long token(MachineRecord machine) {
+    ControllerRecord owner = controllers.get(machine.owner());
+    return owner == null ? machine.version() : Math.max(machine.version(), owner.version());
+  }
+
+  /** Whether the controller has a record, whichever start of its process wrote it. */
+  public boolean alive(String label) {
+    return controllers.containsKey(label);
+  }
+
   /** Whether the controller's record is there under this very start of its process. */
   public boolean alive(String label, String boot) {
     ControllerRecord record = controllers.get(label);
--- a/src/main/java/io/tansystack/fleet/FleetDuty.java
+++ b/src/main/java/io/tansystack/fleet/FleetDuty.java
@@ -188,7 +188,7 @@
   private void adoptOrphans(Duration now) {
     int adopted = 0;
     for (MachineRecord record : world.machines().values()) {
-      if (world.alive(record.owner(), record.boot())) {
+      if (world.alive(record.owner())) {
         orphanSince.remove(record.name());
         continue;
       }
@@ -208,7 +208,7 @@
       String name = record.name();
       Duration silence = desk.silentFor(name);
       View view = views.apply(name);
-      if (silence == null && view != null && view.token() == record.version()) {
+      if (silence == null && view != null && view.token() == world.token(record)) {
         silence = Duration.ofMillis(view.silentMs());
       }
       if (silence != null && silence.compareTo(operator.silentDelete()) > 0) {
@@ -264,11 +264,10 @@
    * could be up, up to twelve times.
    */
   private Duration keepIdle(MachineRecord record) {
-    return Duration.ofMillis((long) (operator.idleReturn().toMillis() * keepFactor(record)));
+    return Duration.ofMillis((long) (operator.idleReturn().toMillis() * keepFactor(types.get(record.type()))));
   }
 
-  private double keepFactor(MachineRecord record) {
-    MachineType type = types.get(record.type());
+  private double keepFactor(MachineType type) {
     if (type == null) {
       return 1;
     }
@@ -304,11 +303,15 @@
         return;
       }
     }
-    String name = Consolidation.pick(jobs.lastSnapshot(), operator.spareReplicas());
+    lastBusy = now; // Whatever comes of it, the next look is a while later: it goes through everything.
+    String name =
+        Consolidation.pick(
+            jobs.lastSnapshot(),
+            machine -> keepFactor(machine.type()) < MAX_KEEP,
+            operator.spareReplicas());
     MachineRecord record = name == null ? null : world.machine(name);
-    if (record != null && keepFactor(record) < MAX_KEEP) {
+    if (record != null) {
       drain(record, "its replicas fit elsewhere");
-      lastBusy = now;
     }
   }
 
@@ -326,21 +329,10 @@
     if (!draining.add(record.name())) {
       return;
     }
-    MachineRecord next =
-        new MachineRecord(
-            record.name(),
-            record.owner(),
-            record.boot(),
-            record.address(),
-            record.type(),
-            record.zone(),
-            record.spot(),
-            true,
-            0);
     String key = World.machineKey(record.name());
     store.commitUrgent(
         List.of(new Condition(key, record.version())),
-        List.of(new Write(key, next.write(), 0)),
+        List.of(new Write(key, record.draining().write(), 0)),
         Duration.ofSeconds(1),
         (result, revision) -> {
           log.info("drain machine={} result={} because={}", record.name(), result, why);
--- a/src/main/java/io/tansystack/jobs/JobDuty.java
+++ b/src/main/java/io/tansystack/jobs/JobDuty.java
@@ -33,10 +33,11 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
@@ -50,6 +51,16 @@
 public final class JobDuty {
   private static final Logger log = LoggerFactory.getLogger(JobDuty.class);
   private static final Duration MIN_GAP = Duration.ofMillis(40);
+
+  /**
+   * A pass is followed by a pause of so many times its length: reports and renewals come first, and
+   * all controllers together must not spend more on planning than on anything else. Shorter where
+   * one of our jobs has just come.
+   */
+  private static final int REST = 40;
+
+  private static final int SHORT_REST = 8;
+
   private static final Duration FOREIGN_AFTER = Duration.ofMillis(2500);
   private static final Duration AVOID = Duration.ofSeconds(30);
   private static final Duration LONGEST_BACKOFF = Duration.ofSeconds(60);
@@ -77,6 +88,7 @@
   private final Function<String, View> views;
   private final Function<String, MachineType> types;
   private final Supplier<List<MachineState>> booting;
+  private final Consumer<Runnable> measured;
   private final InstantSource clock;
 
   /** How long a job waits for others to end by themselves before it has them stopped. */
@@ -88,11 +100,20 @@
   private final Map<String, Trouble> troubles = new HashMap<>();
   private final Map<String, Unabsorbed> unabsorbed = new HashMap<>();
   private final Set<String> teamsInFlight = new HashSet<>();
+
+  /** Each job's record with all proofs taken in, and those proofs; kept up to date job by job. */
+  private final Map<String, JobRecord> effective = new TreeMap<>();
+
+  private final Map<String, Proofs> proofs = new HashMap<>();
+  private final Map<String, MachineState> states = new HashMap<>();
+  private final Set<String> dirtyJobs = new HashSet<>();
+  private final int maxProofConditions;
   private final Duration arrayGap;
-  private final int window;
-  private final int maxPlacementChars;
+  private final RecordLimit limit;
   private Duration lastPass = Duration.ZERO;
-  private boolean scheduled;
+  private Duration lastPassTook = Duration.ZERO;
+  private Duration nextPass;
+  private Loop.Timer timer;
   private Snapshot snapshot = new Snapshot(List.of(), List.of(), List.of(), Map.of());
   private Plan plan = new Plan(Map.of(), Map.of(), List.of());
 
@@ -106,8 +127,10 @@
       Function<String, View> views,
       Function<String, MachineType> types,
       Supplier<List<MachineState>> booting,
+      Consumer<Runnable> measured,
       InstantSource clock) {
     this.booting = booting;
+    this.measured = measured;
     this.clock = clock;
     for (Objective aim : settings.objectives()) {
       if (aim.kind().equals("wait") && aim.jobClass() != null) {
@@ -125,8 +148,9 @@
     settings.teams().forEach(team -> teams.put(team.name(), team));
     // Several arrays run at a time: each may use a part of the write limit only.
     this.arrayGap = Duration.ofMillis((long) (20_000 / settings.store().writeRps()));
-    this.window = settings.store().valueBytes() / 16;
-    this.maxPlacementChars = settings.store().valueBytes() / 2;
+    // Next to the machines chosen in a round, the slot, the record and the team.
+    this.maxProofConditions = Math.max(1, settings.store().txnOps() * 2 - 3);
+    this.limit = new RecordLimit(settings.store().valueBytes());
   }
 
   /** What the last pass could not place, over all jobs. */
@@ -141,21 +165,31 @@
 
   /** Asks for a pass soon; many causes make one pass. */
   public void wake() {
-    wake(MIN_GAP.minus(loop.now().minus(lastPass)));
+    wakeIn(gap(REST));
   }
 
-  private void wake(Duration delay) {
-    if (scheduled) {
-      return;
-    }
-    scheduled = true;
+  private Duration gap(int rest) {
+    Duration gap = lastPassTook.multipliedBy(rest + 1);
+    return (gap.compareTo(MIN_GAP) > 0 ? gap : MIN_GAP).minus(loop.now().minus(lastPass));
+  }
+
+  private void wakeIn(Duration delay) {
     Duration wait = delay.compareTo(Duration.ofMillis(2)) < 0 ? Duration.ofMillis(2) : delay;
-    loop.after(
-        wait,
-        () -> {
-          scheduled = false;
-          pass();
-        });
+    Duration at = loop.now().plus(wait);
+    if (nextPass != null) {
+      if (nextPass.compareTo(at) <= 0) {
+        return;
+      }
+      timer.cancel();
+    }
+    nextPass = at;
+    timer =
+        loop.after(
+            wait,
+            () -> {
+              nextPass = null;
+              measured.accept(this::pass);
+            });
   }
 
   private void pass() {
@@ -163,52 +197,120 @@
     if (!lease.valid()) {
       return;
     }
-    Map<String, Proofs> proofs = new HashMap<>();
-    Map<String, JobRecord> effective = new LinkedHashMap<>();
-    for (Job job : world.jobs().values()) {
-      JobRecord record = current(job);
-      Proofs found =
-          Proofs.collect(job.id(), record, views, world::machine, World::machineKey);
-      if (!found.over().isEmpty()) {
-        proofs.put(job.id(), found);
-        if (slots.holds(job.slot())) {
-          remember(job.id(), found);
-        }
-        record = record.absorbed(found.over());
+    settlePending();
+    for (String id : dirtyJobs) {
+      refresh(id);
+    }
+    dirtyJobs.clear();
+    snapshot = snapshot();
+    plan = Planner.plan(
+            snapshot, limit.window(), limit.placedAtOnce(), settings.store().txnOps() * 2);
+    write(candidates());
+    absorbForeign();
+    lastPassTook = loop.now().minus(lastPass);
+  }
+
+  /**
+   * Records changed. Only what these changes concern is looked at again by the next pass: to go
+   * through all jobs and machines each time is what a large cluster can't afford.
+   */
+  public void touched(World.Touched touched) {
+    for (String id : touched.jobs()) {
+      dirtyJobs.add(id);
+      Job job = world.job(id);
+      if (job != null && job.record().attempt() == 0 && slots.holds(job.slot())) {
+        wakeIn(gap(SHORT_REST));
       }
-      effective.put(job.id(), record);
     }
-    pending.keySet().retainAll(effective.keySet());
-    troubles.keySet().retainAll(effective.keySet());
-    lastWrite.keySet().retainAll(effective.keySet());
-    unabsorbed.keySet().retainAll(effective.keySet());
-    snapshot = snapshot(effective);
-    plan = Planner.plan(snapshot, window, maxPlacementChars, settings.store().txnOps() * 2);
-    write(candidates(effective, proofs));
-    absorbForeign(effective, proofs);
+    for (String machine : touched.machines()) {
+      touchedMachine(machine);
+    }
+    if (touched.controllers()) {
+      // Tokens, and whether a machine is open, depend on its owner's record.
+      states.clear();
+      dirtyJobs.addAll(world.jobs().keySet());
+    }
+  }
+
+  /** A machine's owner has told something new of it; {@code proof} if placements may be over by it. */
+  public void viewChanged(String machine, boolean proof) {
+    if (proof) {
+      touchedMachine(machine);
+      wake();
+    } else {
+      states.remove(machine);
+    }
+  }
+
+  private void touchedMachine(String name) {
+    states.remove(name);
+    for (World.Placed placed : world.placedOn(name)) {
+      dirtyJobs.add(placed.job().id());
+    }
+  }
+
+  /** Drops own writes that the copy of the records shows by now. */
+  private void settlePending() {
+    pending.entrySet().removeIf(
+        entry -> {
+          Pending p = entry.getValue();
+          boolean shown = p.revision > 0 && world.revision() >= p.revision;
+          boolean over = shown || world.job(entry.getKey()) == null;
+          if (over) {
+            dirtyJobs.add(entry.getKey());
+          }
+          return over;
+        });
+  }
+
+  /** Takes the newest record of a job, with all proofs that are here, as what it is planned from. */
+  private void refresh(String id) {
+    Job job = world.job(id);
+    if (job == null) {
+      effective.remove(id);
+      proofs.remove(id);
+      troubles.remove(id);
+      lastWrite.remove(id);
+      unabsorbed.remove(id);
+      return;
+    }
+    JobRecord record = current(job);
+    Proofs found =
+        Proofs.collect(
+            id, record, views, world::machine, world::token, maxProofConditions);
+    if (found.over().isEmpty()) {
+      proofs.remove(id);
+    } else {
+      proofs.put(id, found);
+      if (slots.holds(job.slot())) {
+        remember(id, found);
+      }
+      record = record.absorbed(found.over());
+    }
+    effective.put(id, record);
   }
 
   /** The record as last written by this controller, while the copy doesn't show it yet. */
   private JobRecord current(Job job) {
     Pending p = pending.get(job.id());
-    if (p == null) {
-      return job.record();
-    }
-    if (p.revision > 0 && world.revision() >= p.revision) {
-      pending.remove(job.id());
-      return job.record();
-    }
-    return job.version() == p.baseVersion ? p.record : job.record();
+    return p != null && job.version() == p.baseVersion ? p.record : job.record();
   }
 
-  private Snapshot snapshot(Map<String, JobRecord> effective) {
+  private Snapshot snapshot() {
     List<MachineState> machines = new ArrayList<>();
     for (MachineRecord record : world.machines().values()) {
-      MachineType type = types.apply(record.type());
-      if (type != null) {
-        machines.add(state(record, type, views.apply(record.name())));
+      MachineState known = states.get(record.name());
+      if (known == null) {
+        MachineType type = types.apply(record.type());
+        if (type == null) {
+          continue;
+        }
+        known = state(record, type, views.apply(record.name()));
+        states.put(record.name(), known);
       }
+      machines.add(known);
     }
+    states.keySet().retainAll(world.machines().keySet());
     Duration now = loop.now();
     long wallMs = clock.millis();
     List<JobState> jobs = new ArrayList<>();
@@ -250,9 +352,9 @@
     boolean open =
         view != null
             && !record.drain()
-            && world.alive(record.owner(), record.boot())
-            && view.token() == record.version()
-            && view.report().token() == record.version()
+            && world.alive(record.owner())
+            && view.token() == world.token(record)
+            && view.report().token() == world.token(record)
             && view.report().noticeS() == null
             && view.silentMs() < patience;
     return new MachineState(
@@ -300,30 +402,29 @@
     }
   }
 
-  private List<Candidate> candidates(
-      Map<String, JobRecord> effective, Map<String, Proofs> proofs) {
+  private List<Candidate> candidates() {
     List<Candidate> candidates = new ArrayList<>();
     for (Map.Entry<String, JobRecord> entry : effective.entrySet()) {
       Job job = world.job(entry.getKey());
       if (!slots.holds(job.slot()) || pending.containsKey(entry.getKey())) {
         continue;
       }
-      JobRecord next = entry.getValue();
-      boolean ends = next.phase() != job.record().phase();
-      for (Plan.Stop stop : plan.stops().getOrDefault(entry.getKey(), List.of())) {
-        next =
-            next.spec().shape() == Shape.GANG
-                ? next.allStopped()
-                : next.stopped(stop.machine(), stop.tasks());
-      }
-      next = stopBeforeRecall(next);
+      JobRecord known = entry.getValue();
+      boolean ends = known.phase() != job.record().phase();
+      JobRecord next = stopped(entry.getKey(), known);
       List<JobRecord.Assignment> round = plan.placements().getOrDefault(entry.getKey(), List.of());
       if (!round.isEmpty()) {
         next = next.placed(round);
       }
+      boolean places = !round.isEmpty();
+      if (!limit.allows(next)) {
+        // Stops that split its parts have made it too long to be written; it shrinks as they end.
+        next = known;
+        places = false;
+      }
       if (!next.equals(job.record())) {
         candidates.add(
-            new Candidate(job, next, proofs.get(entry.getKey()), !round.isEmpty(), ends));
+            new Candidate(job, next, proofs.get(entry.getKey()), places, ends));
       }
     }
     candidates.sort(
@@ -334,6 +435,17 @@
     return candidates;
   }
 
+  private JobRecord stopped(String id, JobRecord record) {
+    JobRecord next = record;
+    for (Plan.Stop stop : plan.stops().getOrDefault(id, List.of())) {
+      next =
+          next.spec().shape() == Shape.GANG
+              ? next.allStopped()
+              : next.stopped(stop.machine(), stop.tasks());
+    }
+    return stopBeforeRecall(next);
+  }
+
   /** Work that can save itself is stopped in order when the cloud takes its machine away. */
   private JobRecord stopBeforeRecall(JobRecord record) {
     if (!record.active() || record.spec().checkpointS() <= 0) {
@@ -383,7 +495,8 @@
       commit(c, value, limited);
     }
     if (again != null) {
-      wake(again);
+      Duration gap = gap(REST);
+      wakeIn(again.compareTo(gap) > 0 ? again : gap);
     }
   }
 
@@ -426,6 +539,7 @@
     }
     lastWrite.put(id, loop.now());
     pending.put(id, new Pending(c.next, c.job.version(), 0));
+    dirtyJobs.add(id);
     for (Plan.Stop stop : plan.stops().getOrDefault(id, List.of())) {
       log.info(
           "preempt job={} tasks={} machine={} for={}",
@@ -460,6 +574,7 @@
                 result == Result.UNKNOWN ? Duration.ofMillis(500) : Duration.ofMillis(30),
                 () -> {
                   pending.remove(id);
+                  dirtyJobs.add(id);
                   wake();
                 });
             return;
@@ -484,7 +599,7 @@
    * instance because it can't be reached, they are written without it: the record's own version is
    * enough for that, and users learn that their job is done.
    */
-  private void absorbForeign(Map<String, JobRecord> effective, Map<String, Proofs> proofs) {
+  private void absorbForeign() {
     Duration now = loop.now();
     unabsorbed.keySet().retainAll(proofs.keySet());
     for (Map.Entry<String, Proofs> entry : proofs.entrySet()) {
@@ -509,6 +624,7 @@
       JobRecord next = effective.get(id);
       log.info("taking in proofs for job={} of another's slot {}", id, job.slot());
       pending.put(id, new Pending(next, job.version(), 0));
+      dirtyJobs.add(id);
       store.commitReserved(
           conditions,
           List.of(new Write(World.jobKey(id), next.write(), 0)),
@@ -517,6 +633,7 @@
                   Duration.ofMillis(300),
                   () -> {
                     pending.remove(id);
+                    dirtyJobs.add(id);
                     wake();
                   }));
     }
--- a/src/main/java/io/tansystack/jobs/JobRecord.java
+++ b/src/main/java/io/tansystack/jobs/JobRecord.java
@@ -205,6 +205,11 @@
   }
 
   public static JobRecord read(ObjectNode map) throws BadInput {
+    return read(map, null);
+  }
+
+  /** @param known the job's specification if it is known; it never changes and need not be read again */
+  public static JobRecord read(ObjectNode map, JobSpec known) throws BadInput {
     Phase phase = null;
     String text = Read.text(map, "phase");
     for (Phase candidate : Phase.values()) {
@@ -227,7 +232,7 @@
       placements.add(Placement.read(Read.map(node, "placed")));
     }
     return new JobRecord(
-        JobSpec.read(Read.map(map, "spec")),
+        known != null ? known : JobSpec.read(Read.map(map, "spec")),
         at,
         phase,
         Placement.tasks(map, "done"),
--- a/src/main/java/io/tansystack/jobs/UserApi.java
+++ b/src/main/java/io/tansystack/jobs/UserApi.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.cluster.World;
+import io.tansystack.cluster.World.Job;
 import io.tansystack.http.HttpServer.Reply;
+import io.tansystack.http.Loop;
 import io.tansystack.settings.PlatformSettings;
 import io.tansystack.settings.PlatformSettings.Team;
 import io.tansystack.store.StoreClient;
@@ -21,6 +23,7 @@
 import io.tansystack.wire.StoreWire.Write;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.List;
 import java.util.function.Supplier;
@@ -36,6 +39,7 @@
   private static final Logger log = LoggerFactory.getLogger(UserApi.class);
   private static final int MAX_OPEN = 128;
   private static final int CANCEL_TRIES = 6;
+  private static final Duration POLL_WAIT = Duration.ofMillis(200);
   private static final Duration SUBMIT_WAIT = Duration.ofMillis(2500);
 
   private final StoreClient store;
@@ -43,17 +47,25 @@
   private final PlatformSettings settings;
   private final InstantSource clock;
   private final Supplier<Collection<MachineType>> types;
+  private final Loop loop;
+  private final ArrayDeque<Poll> polls = new ArrayDeque<>();
+  private final RecordLimit limit;
   private int open;
 
+  private record Poll(String id, Once once, Duration at) {}
+
   public UserApi(
+      Loop loop,
       StoreClient store,
       World world,
       PlatformSettings settings,
       InstantSource clock,
       Supplier<Collection<MachineType>> types) {
+    this.loop = loop;
     this.store = store;
     this.world = world;
     this.settings = settings;
+    this.limit = new RecordLimit(settings.store().valueBytes());
     this.clock = clock;
     this.types = types;
   }
@@ -125,13 +137,16 @@
       return;
     }
     String impossible = impossible(spec, settings.team(spec.team()), known);
+    if (impossible == null && spec.shape() != Shape.ARRAY) {
+      impossible = unholdable(spec, known);
+    }
     if (impossible != null) {
       answerKnown(id, 422, impossible, once);
       return;
     }
     JobRecord record = JobRecord.created(spec, clock.millis());
     ObjectNode value = record.write();
-    if (Cbor.jsonSize(value) > settings.store().valueBytes() / 2) {
+    if (!limit.accepts(spec)) {
       answerKnown(id, 400, "the description is too long", once);
       return;
     }
@@ -181,6 +196,22 @@
     return null;
   }
 
+  /** Tasks that have to run at once must be recorded at once, and a record holds so many only. */
+  private String unholdable(JobSpec spec, Collection<MachineType> types) {
+    int most = 0;
+    for (MachineType type : types) {
+      most = Math.max(most, spec.allowsType(type.name()) ? type.capacityFor(spec) : 0);
+    }
+    int machines = (spec.tasks() + most - 1) / most;
+    int held = limit.placedAtOnce();
+    if (spec.shape() == Shape.GANG) {
+      held = Math.min(held, settings.store().txnOps() * 2);
+    }
+    return machines <= held
+        ? null
+        : "needs at least " + machines + " machines at once; " + held + " can be recorded";
+  }
+
   private JobState finalState(String id) {
     return world.finalPhase(id) == JobRecord.Phase.DONE ? JobState.DONE : JobState.CANCELLED;
   }
@@ -250,19 +281,58 @@
     if (shed(reply)) {
       return;
     }
-    Once once = new Once(reply);
+    polls.add(new Poll(id, new Once(reply), loop.now()));
+    if (polls.size() == 1) {
+      loop.after(POLL_WAIT, this::readLongest);
+    }
+  }
+
+  /**
+   * The copy of the records holds all that was committed before {@code at}. A poll that came before
+   * that is answered from it, which is as good as a read of its own: with hundreds of jobs, single
+   * reads alone would use up the state service's limit on requests.
+   */
+  public void synced(Duration at) {
+    while (!polls.isEmpty() && polls.peek().at.compareTo(at) <= 0) {
+      Poll poll = polls.poll();
+      Job job = world.job(poll.id);
+      if (world.finalPhase(poll.id) != null) {
+        poll.once.send(200, Answers.progress(poll.id, finalState(poll.id), 0, 0));
+      } else if (job != null) {
+        progress(poll.id, job.record(), poll.once);
+      } else {
+        read(poll); // The copy forgets old outcomes; only the state service can deny a job.
+      }
+    }
+  }
+
+  /** Where nothing changes, the copy is confirmed seldom: polls that have waited get their own read. */
+  private void readLongest() {
+    Duration now = loop.now();
+    while (!polls.isEmpty() && now.minus(polls.peek().at).compareTo(POLL_WAIT) >= 0) {
+      read(polls.poll());
+    }
+    if (!polls.isEmpty()) {
+      loop.after(POLL_WAIT.minus(now.minus(polls.peek().at)), this::readLongest);
+    }
+  }
+
+  private void read(Poll poll) {
     read(
-        id,
-        once,
-        () -> noSuchJob(once),
-        (record, version) ->
-            once.send(
-                200,
-                Answers.progress(
-                    id,
-                    record.state(),
-                    record.done().size(),
-                    record.active() ? record.placedCount() : 0)));
+        poll.id,
+        poll.once,
+        () -> noSuchJob(poll.once),
+        (record, version) -> progress(poll.id, record, poll.once));
+  }
+
+  private static void progress(String id, JobRecord record, Once once) {
+    once.send(
+        200,
+        Answers.progress(
+            id,
+            record.state(),
+            record.done().size(),
+            record.active() ? record.placedCount() : 0));
   }
 
   /** {@code POST /v1/jobs/ID/abort}. */
--- /dev/null
+++ b/src/main/java/io/tansystack/schedule/AcceleratorKeep.java
@@ -0,0 +1,135 @@
+package io.tansystack.schedule;
+
+import io.tansystack.schedule.Snapshot.JobState;
+import io.tansystack.schedule.Snapshot.MachineState;
+import io.tansystack.wire.JobSpec;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Keeps machines with accelerators for the work that needs those. By delivery time alone, cheap tasks
+ * would fill them, and gangs would wait for their only machines.
+ */
+final class AcceleratorKeep {
+  private static final class Waiting {
+    final JobSpec shape;
+    int tasks;
+
+    Waiting(JobSpec shape) {
+      this.shape = shape;
+    }
+  }
+
+  private final Collection<Room> rooms;
+
+  /** One job for each distinct thing that is asked of accelerators. */
+  private final Map<Ask, JobSpec> shapes = new LinkedHashMap<>();
+
+  /** Those of them that have nothing placed: machines that could take them are kept for them. */
+  private final Map<Ask, Waiting> waiting = new LinkedHashMap<>();
+
+  private int waitingTasks;
+
+  /** Machines that are booting, without accelerators: worth waiting for. */
+  private final List<Room> coming = new ArrayList<>();
+
+  private final Map<Ask, Integer> places = new HashMap<>();
+
+  AcceleratorKeep(Collection<Room> rooms, List<MachineState> booting) {
+    this.rooms = rooms;
+    for (MachineState machine : booting) {
+      if (machine.type().gpus() <= 0) {
+        coming.add(new Room(machine));
+      }
+    }
+  }
+
+  void count(JobState job) {
+    JobSpec spec = job.record().spec();
+    if (spec.gpus() <= 0 || !job.record().active()) {
+      return;
+    }
+    Ask ask = Ask.of(spec);
+    shapes.putIfAbsent(ask, spec);
+    if (job.record().placements().isEmpty()) {
+      waiting.computeIfAbsent(ask, k -> new Waiting(spec)).tasks += spec.tasks();
+      waitingTasks += spec.tasks();
+    }
+  }
+
+  /** Whether one more such task takes the place of a task that needs this machine's accelerators. */
+  boolean spoils(JobSpec spec, Room room) {
+    if (spec.gpus() > 0 || room.machine.type().gpus() <= 0) {
+      return false;
+    }
+    for (JobSpec shape : shapes.values()) {
+      if (shape.allowsType(room.machine.type().name())) {
+        int before = room.fits(shape);
+        int after =
+            Room.count(shape, room.cpus - spec.cpus(), room.gpus, room.mem - spec.memGb());
+        if (after < before) {
+          return true;
+        }
+      }
+    }
+    return shapes.isEmpty();
+  }
+
+  /** Another job is looked at: what fits where may have changed. */
+  void nextJob() {
+    places.clear();
+  }
+
+  /**
+   * Whether a waiting job needs the accelerators that a task would spoil, and no other machine is
+   * left for it. Without this the first machines to boot, often those with accelerators, fill up with
+   * replicas that stay for long while the jobs they were rented for go on waiting.
+   */
+  boolean keptForOthers(Room room) {
+    for (Map.Entry<Ask, Waiting> entry : waiting.entrySet()) {
+      JobSpec shape = entry.getValue().shape;
+      if (room.fits(shape) > 0
+          && allows(shape, room)
+          && places.computeIfAbsent(entry.getKey(), k -> places(shape)) <= waitingTasks) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private int places(JobSpec shape) {
+    int count = 0;
+    for (Room room : rooms) {
+      if (room.machine.open() && allows(shape, room)) {
+        count += room.fits(shape);
+      }
+    }
+    return count;
+  }
+
+  private static boolean allows(JobSpec shape, Room room) {
+    MachineState m = room.machine;
+    return shape.allows(m.type().name(), m.zone(), m.spot());
+  }
+
+  /**
+   * Whether the task had better wait for a machine that is booting than spoil one with accelerators.
+   * Machines with accelerators often boot first; replicas that fill them then stay for long.
+   */
+  boolean waitsForComing(JobSpec spec, Room room) {
+    if (!spoils(spec, room)) {
+      return false;
+    }
+    for (Room next : coming) {
+      if (allows(spec, next) && next.fits(spec) > 0) {
+        next.take(spec, 1);
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- a/src/main/java/io/tansystack/schedule/Consolidation.java
+++ b/src/main/java/io/tansystack/schedule/Consolidation.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * Finds a machine that costs more than its work needs: all that stays on it are replicas for which
@@ -52,10 +53,12 @@
   /**
    * The most expensive machine that can be emptied, or null.
    *
+   * @param mayEmpty machines that are not wanted warm
    * @param spare how many more tasks of the largest service must find room afterwards, so that the
    *     next arrivals need not wait for a machine to boot
    */
-  public static String pick(Snapshot snapshot, int spare) {
+  public static String pick(
+      Snapshot snapshot, Predicate<MachineState> mayEmpty, int spare) {
     Map<String, Free> rooms = new HashMap<>();
     for (MachineState machine : snapshot.machines()) {
       rooms.put(machine.name(), new Free(machine));
@@ -90,6 +93,7 @@
       if (!from.pinned
           && from.machine.open()
           && !from.replicas.isEmpty()
+          && mayEmpty.test(from.machine)
           && movesElsewhere(from, order, largest, spare)) {
         return from.machine.name();
       }
@@ -99,8 +103,7 @@
 
   private static boolean movesElsewhere(
       Free from, List<Free> order, JobSpec largest, int spare) {
-    Map<Free, double[]> before = new HashMap<>();
-    order.forEach(f -> before.put(f, new double[] {f.cpus, f.gpus, f.mem}));
+    List<Free> taken = new ArrayList<>();
     List<JobSpec> toPlace = new ArrayList<>(from.replicas);
     for (int i = 0; i < spare; i++) {
       toPlace.add(largest);
@@ -111,10 +114,10 @@
       for (Free f : order) {
         // To a cheaper machine or one that is kept for its other work anyway.
         if (f != from
+            && f.fits(spec)
             && f.machine.open()
             && (f.price() < from.price() || f.pinned || !f.replicas.isEmpty())
-            && spec.allows(f.machine.type().name(), f.machine.zone(), f.machine.spot())
-            && f.fits(spec)) {
+            && spec.allows(f.machine.type().name(), f.machine.zone(), f.machine.spot())) {
           target = f;
           break;
         }
@@ -124,14 +127,11 @@
         break;
       }
       target.take(spec, 1);
+      taken.add(target);
+    }
+    for (int i = 0; i < taken.size(); i++) {
+      taken.get(i).take(toPlace.get(i), -1);
     }
-    order.forEach(
-        f -> {
-          double[] room = before.get(f);
-          f.cpus = room[0];
-          f.gpus = room[1];
-          f.mem = room[2];
-        });
     return all;
   }
 }
--- /dev/null
+++ b/src/main/java/io/tansystack/schedule/Preemption.java
@@ -0,0 +1,137 @@
+package io.tansystack.schedule;
+
+import io.tansystack.jobs.Placement;
+import io.tansystack.jobs.TaskSet;
+import io.tansystack.schedule.Plan.Stop;
+import io.tansystack.schedule.Room.Held;
+import io.tansystack.schedule.Snapshot.JobState;
+import io.tansystack.wire.JobSpec;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+
+/** Chooses whom to stop, so that work which may take their place finds room. */
+final class Preemption {
+  private record Victim(Held held, int tasks) {}
+
+  /** The least that has to be stopped on a machine for one more task. */
+  private record Offer(Room room, List<Victim> victims, double loss, int order) {}
+
+  private final TeamUse teams;
+  private final Plan plan;
+
+  Preemption(TeamUse teams, Plan plan) {
+    this.teams = teams;
+    this.plan = plan;
+  }
+
+  /**
+   * Stops tasks for those of the job that found no room, where it costs least first. Each machine is
+   * judged once, and again only after something was stopped on it. Returns how many tasks are left.
+   */
+  int stopFor(JobState job, int left, List<Room> rooms, Object2IntOpenHashMap<String> zones) {
+    JobSpec spec = job.record().spec();
+    boolean owed = teams.guaranteed(job.id());
+    PriorityQueue<Offer> offers =
+        new PriorityQueue<>(Comparator.comparingDouble(Offer::loss).thenComparingInt(Offer::order));
+    for (int i = 0; i < rooms.size(); i++) {
+      if (owed || rooms.get(i).fitsWithoutLower(spec)) {
+        offer(job, rooms.get(i), i, offers);
+      }
+    }
+    while (left > 0 && !offers.isEmpty()) {
+      Offer best = offers.poll();
+      if (!Planner.zoneOk(spec, zones, best.room)) {
+        continue; // And it stays so: copies in a zone only grow in number during a pass.
+      }
+      for (Victim victim : best.victims) {
+        stop(best.room, victim, job);
+      }
+      best.room.take(spec, 1);
+      zones.addTo(best.room.machine.zone(), 1);
+      left--;
+      offer(job, best.room, best.order, offers);
+    }
+    return left;
+  }
+
+  private void offer(JobState job, Room room, int order, PriorityQueue<Offer> offers) {
+    List<Victim> victims = victims(job, room);
+    if (victims != null) {
+      offers.add(new Offer(room, victims, loss(victims), order));
+    }
+  }
+
+  private static double loss(List<Victim> victims) {
+    double loss = 0;
+    for (Victim v : victims) {
+      JobSpec s = v.held.job().record().spec();
+      // A stopped gang loses all its tasks, a task with checkpoints next to nothing of its work.
+      double weight = s.checkpointS() > 0 ? 0.3 : 1;
+      loss += v.tasks * (s.cpus() + 10 * s.gpus()) * weight * (4 - s.priority().ordinal());
+    }
+    return loss;
+  }
+
+  /** The least wanted tasks on the machine whose end makes room for one task, or null. */
+  private List<Victim> victims(JobState job, Room room) {
+    JobSpec spec = job.record().spec();
+    double cpus = room.cpus + room.soonCpus;
+    double gpus = room.gpus + room.soonGpus;
+    double mem = room.mem + room.soonMem;
+    List<Victim> victims = new ArrayList<>();
+    for (Held held : room.held()) {
+      if (!preemptible(job, held.job())) {
+        continue;
+      }
+      JobSpec s = held.job().record().spec();
+      int n = 0;
+      while (n < held.placement().tasks().size() && Room.count(spec, cpus, gpus, mem) == 0) {
+        cpus += s.cpus();
+        gpus += s.gpus();
+        mem += s.memGb();
+        n++;
+      }
+      if (n > 0) {
+        victims.add(new Victim(held, n));
+      }
+      if (Room.count(spec, cpus, gpus, mem) > 0) {
+        return victims;
+      }
+    }
+    return null;
+  }
+
+  /** Lower priority, or another team's work beyond its guarantee for one that is owed its own. */
+  private boolean preemptible(JobState job, JobState victim) {
+    JobSpec spec = job.record().spec();
+    JobSpec other = victim.record().spec();
+    if (spec.gpus() <= 0 && other.gpus() > 0) {
+      return false; // What needs no accelerator does not take one away.
+    }
+    return other.priority().ordinal() > spec.priority().ordinal() || teams.owed(job, victim);
+  }
+
+  private void stop(Room room, Victim victim, JobState forJob) {
+    Placement p = victim.held.placement();
+    BitSet rest = p.tasks().toBits();
+    BitSet tasks = new BitSet();
+    // The last numbers of a placement were started last, as a rule: they lose the least work.
+    for (int t = rest.length() - 1, n = 0; t >= 0 && n < victim.tasks; t = rest.previousSetBit(t)) {
+      tasks.set(t);
+      rest.clear(t);
+      n++;
+    }
+    plan.stops()
+        .computeIfAbsent(victim.held.job().id(), k -> new ArrayList<>())
+        .add(new Stop(room.machine.name(), TaskSet.of(tasks), forJob.id()));
+    room.release(victim.held);
+    if (!rest.isEmpty()) {
+      room.hold(new Held(victim.held.job(), p.withTasks(TaskSet.of(rest))));
+    }
+    room.leaveSoon(victim.held.job().record().spec(), tasks.cardinality());
+  }
+}
--- /dev/null
+++ b/src/main/java/io/tansystack/schedule/ReplicaMoves.java
@@ -0,0 +1,165 @@
+package io.tansystack.schedule;
+
+import io.tansystack.jobs.JobRecord;
+import io.tansystack.jobs.Placement;
+import io.tansystack.jobs.TaskSet;
+import io.tansystack.schedule.Plan.Stop;
+import io.tansystack.schedule.Plan.Unmet;
+import io.tansystack.schedule.Room.Held;
+import io.tansystack.schedule.Snapshot.JobState;
+import io.tansystack.schedule.Snapshot.MachineState;
+import io.tansystack.wire.JobSpec;
+import io.tansystack.wire.Shape;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Moves replicas off machines that are to be emptied, and off one machine with accelerators for each
+ * job that waits for them in vain. Services run for long, so one bad placement costs for long. A
+ * replica is stopped only when room for it is in sight, and a few at a time, so that a service never
+ * lacks more than one of its replicas on this account.
+ */
+final class ReplicaMoves {
+  private static final int MAX_MOVING = 6;
+
+  /** Where a job's tasks could go, best first. */
+  interface Candidates {
+    List<Room> of(JobState job);
+  }
+
+  private final Map<String, Room> rooms;
+  private final AcceleratorKeep keep;
+  private final Plan plan;
+  private final Candidates candidates;
+  private final Map<String, JobState> jobs = new HashMap<>();
+  private final Set<Room> clearing = new HashSet<>();
+
+  ReplicaMoves(
+      Map<String, Room> rooms, AcceleratorKeep keep, Plan plan, Candidates candidates) {
+    this.rooms = rooms;
+    this.keep = keep;
+    this.plan = plan;
+    this.candidates = candidates;
+  }
+
+  void run(List<JobState> active) {
+    int moving = 0;
+    for (JobState job : active) {
+      if (job.record().spec().shape() == Shape.SERVICE) {
+        jobs.put(job.id(), job);
+        for (Placement p : job.record().placements()) {
+          moving += p.stop() ? p.tasks().size() : 0;
+        }
+      }
+    }
+    if (moving >= MAX_MOVING) {
+      return;
+    }
+    for (Room from : toEmpty()) {
+      for (Held held : List.copyOf(from.held())) {
+        JobState job = jobs.get(held.job().id());
+        if (job != null && movable(job) && move(job, held, from) && ++moving >= MAX_MOVING) {
+          return;
+        }
+      }
+    }
+  }
+
+  private List<Room> toEmpty() {
+    List<Room> result = new ArrayList<>();
+    for (Room room : rooms.values()) {
+      if (room.machine.drain()) {
+        result.add(room);
+      }
+    }
+    Set<Ask> hopeless = new HashSet<>();
+    for (Unmet need : plan.unmet()) {
+      // No more replicas move at a time than one machine holds, as a rule.
+      if (clearing.size() >= MAX_MOVING || need.spec().gpus() <= 0) {
+        continue;
+      }
+      Ask ask = Ask.of(need.spec());
+      if (hopeless.contains(ask)) {
+        continue;
+      }
+      Room best = clearable(need.spec());
+      if (best == null) {
+        hopeless.add(ask);
+      } else {
+        clearing.add(best);
+        result.add(best);
+      }
+    }
+    return result;
+  }
+
+  /** Only a service whose replicas are all in place may lend one to a move. */
+  private boolean movable(JobState job) {
+    JobRecord record = job.record();
+    return job.waiting()
+        && !plan.placements().containsKey(job.id())
+        && !plan.stops().containsKey(job.id())
+        && record.placedCount() == record.spec().tasks()
+        && record.placements().stream().noneMatch(Placement::stop);
+  }
+
+  /** The machine on which the fewest replicas stand in the way of the job. */
+  private Room clearable(JobSpec need) {
+    Room best = null;
+    int fewest = Integer.MAX_VALUE;
+    for (Room room : rooms.values()) {
+      MachineState m = room.machine;
+      if (!m.open()
+          || !need.allows(m.type().name(), m.zone(), m.spot())
+          || clearing.contains(room)) {
+        continue;
+      }
+      double cpus = room.cpus + room.soonCpus;
+      double gpus = room.gpus + room.soonGpus;
+      double mem = room.mem + room.soonMem;
+      int replicas = 0;
+      for (Held held : room.held()) {
+        JobSpec s = held.job().record().spec();
+        int n = held.placement().tasks().size();
+        if (s.shape() == Shape.SERVICE && s.gpus() <= 0) {
+          cpus += n * s.cpus();
+          mem += n * s.memGb();
+          replicas += n;
+        }
+      }
+      if (Room.count(need, cpus, gpus, mem) > 0 && replicas > 0 && replicas < fewest) {
+        best = room;
+        fewest = replicas;
+      }
+    }
+    return best;
+  }
+
+  private boolean move(JobState job, Held held, Room from) {
+    JobSpec spec = job.record().spec();
+    Object2IntOpenHashMap<String> zones = Planner.zones(job.record(), rooms);
+    zones.addTo(from.machine.zone(), -1);
+    for (Room to : candidates.of(job)) {
+      if (to != from
+          && !clearing.contains(to)
+          && !keep.spoils(spec, to)
+          && zones.getInt(to.machine.zone()) < spec.zoneCap()) {
+        to.take(spec, 1);
+        plan.stops()
+            .computeIfAbsent(job.id(), k -> new ArrayList<>())
+            .add(
+                new Stop(
+                    from.machine.name(),
+                    TaskSet.EMPTY.with(held.placement().tasks().next(0)),
+                    "a move to " + to.machine.name()));
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- a/src/main/java/io/tansystack/store/Watcher.java
+++ b/src/main/java/io/tansystack/store/Watcher.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -36,11 +37,19 @@
   private final String prefix;
   private final Duration spacing;
   private final Listener listener;
+  private final Consumer<Duration> synced;
   private Duration syncedAt;
   private long revision;
 
+  /** @param synced told, after the listener, up to which moment the copy is complete */
   public Watcher(
-      StoreClient store, Loop loop, String prefix, Duration spacing, Listener listener) {
+      StoreClient store,
+      Loop loop,
+      String prefix,
+      Duration spacing,
+      Listener listener,
+      Consumer<Duration> synced) {
+    this.synced = synced;
     this.store = store;
     this.loop = loop;
     this.prefix = prefix;
@@ -114,6 +123,7 @@
               syncedAt = sentAt;
               revision = Math.max(revision, changes.revision());
               listener.changes(changes.changes(), revision);
+              synced.accept(sentAt);
               next = spacing.minus(loop.now().minus(sentAt));
             }
           } catch (BadInput e) {
--- a/src/main/java/io/tansystack/wire/Report.java
+++ b/src/main/java/io/tansystack/wire/Report.java
@@ -57,6 +57,17 @@
     return map;
   }
 
+  /** The same report with other tasks. */
+  public Report with(List<TaskReport> others) {
+    return new Report(
+        machine, address, type, zone, spot, session, seq, token, noticeS, List.copyOf(others));
+  }
+
+  /** What it says of the machine itself. */
+  public Report without() {
+    return with(List.of());
+  }
+
   /** Whether this message was made after the other one by the same worker. */
   public boolean newerThan(Report other) {
     return session != other.session ? session > other.session : seq > other.seq;
--- a/src/main/java/io/tansystack/workers/Proofs.java
+++ b/src/main/java/io/tansystack/workers/Proofs.java
@@ -1,5 +1,6 @@
 package io.tansystack.workers;
 
+import io.tansystack.cluster.World;
 import io.tansystack.cluster.World.MachineRecord;
 import io.tansystack.jobs.JobRecord;
 import io.tansystack.jobs.JobRecord.Over;
@@ -10,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
+import java.util.function.ToLongFunction;
 
 /**
  * The proofs that placements are over. Nothing else ends a placement: not silence, not a missing line
@@ -22,8 +24,9 @@
  *   <li>the machine's record is gone: it is deleted only after the cloud confirmed the deletion, or
  *       after the worker's lease has run out for certain;
  *   <li>the owner says that an unwanted attempt is not there and that it won't launch it. This holds
- *       only while that owner holds the machine under that token, so the write that drops the
- *       placement carries the machine's version as a condition.
+ *       only while that owner holds the machine, so the write that drops the placement carries the
+ *       machine's version as a condition. A restarted owner keeps the machine under a later token;
+ *       it acts on records that show the attempt as unwanted too, so it won't launch it either.
  * </ol>
  *
  * @param over what is over
@@ -35,12 +38,17 @@
   /** An attempt that ended by something else than its completion or a stop. */
   public record Failure(int task, String machine, Cause cause) {}
 
+  /**
+   * @param maxConditions a transaction holds so many only. Proofs beyond that are left for the next
+   *     one: a job whose round could never be written would be stuck for ever
+   */
   public static Proofs collect(
       String job,
       JobRecord record,
       Function<String, View> views,
       Function<String, MachineRecord> machines,
-      Function<String, String> keys) {
+      ToLongFunction<MachineRecord> tokens,
+      int maxConditions) {
     List<Over> over = new ArrayList<>();
     List<Condition> conditions = new ArrayList<>();
     List<Failure> failures = new ArrayList<>();
@@ -54,16 +62,18 @@
       if (view == null || view.report().session() != p.session()) {
         continue;
       }
-      for (TaskReport task : view.tasksOf(job)) {
+      for (TaskReport task : view.exitedOf(job)) {
         int index = task.task().index();
-        if (task.exited() && task.attempt() == p.attempt() && p.tasks().contains(index)) {
+        if (task.attempt() == p.attempt() && p.tasks().contains(index)) {
           over.add(new Over(index, p.attempt(), p.machine(), task.cause() == Cause.DONE));
           if (task.cause() != Cause.DONE && task.cause() != Cause.STOPPED) {
             failures.add(new Failure(index, p.machine(), task.cause()));
           }
         }
       }
-      if (view.token() != machine.version()) {
+      Condition owner = new Condition(World.machineKey(p.machine()), machine.version());
+      if (view.token() != tokens.applyAsLong(machine)
+          || (conditions.size() >= maxConditions && !conditions.contains(owner))) {
         continue;
       }
       boolean used = false;
@@ -73,8 +83,8 @@
           used = true;
         }
       }
-      if (used) {
-        conditions.add(new Condition(keys.apply(p.machine()), machine.version()));
+      if (used && !conditions.contains(owner)) {
+        conditions.add(owner);
       }
     }
     return new Proofs(over, conditions, failures);
--- a/src/main/java/io/tansystack/workers/View.java
+++ b/src/main/java/io/tansystack/workers/View.java
@@ -3,12 +3,15 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.jobs.TaskSet;
 import io.tansystack.wire.BadInput;
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.Read;
 import io.tansystack.wire.Report;
+import io.tansystack.wire.TaskId;
 import io.tansystack.wire.TaskReport;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -29,7 +32,7 @@
   private final double fetchGbPerS;
   private final double slowness;
   private final long silentMs;
-  private Map<String, List<TaskReport>> byJob;
+  private Map<String, List<TaskReport>> exited;
 
   /**
    * @param token the owner's token; {@code voids} are proofs only while the machine's record still
@@ -90,30 +93,60 @@
     return !other.report.newerThan(report);
   }
 
-  public List<TaskReport> tasksOf(String job) {
-    if (byJob == null) {
-      byJob = new HashMap<>();
+  /** The job's tasks that the machine reports as ended. */
+  public List<TaskReport> exitedOf(String job) {
+    return exited().getOrDefault(job, List.of());
+  }
+
+  private Map<String, List<TaskReport>> exited() {
+    if (exited == null) {
+      exited = new HashMap<>();
       for (TaskReport task : report.tasks()) {
-        byJob.computeIfAbsent(task.task().job(), k -> new ArrayList<>()).add(task);
+        if (task.exited()) {
+          exited.computeIfAbsent(task.task().job(), k -> new ArrayList<>(2)).add(task);
+        }
       }
     }
-    return byJob.getOrDefault(job, List.of());
+    return exited;
   }
 
-  public TaskReport find(String job, int task, long attempt) {
-    for (TaskReport candidate : tasksOf(job)) {
-      if (candidate.attempt() == attempt && candidate.task().index() == task) {
-        return candidate;
-      }
-    }
-    return null;
+  /** Whether it proves just what the other one does; most reports say that work goes on. */
+  public boolean provesTheSame(View other) {
+    return token == other.token
+        && report.session() == other.report.session()
+        && voids.equals(other.voids)
+        && exited().equals(other.exited());
   }
 
-  /** The form in which it travels between controllers. */
+  /** Tasks that are in the same state; they travel as one, their numbers as ranges. */
+  private record Group(
+      String job, long attempt, TaskReport.State state, TaskReport.Cause cause, boolean saved) {}
+
+  /** The form in which it travels between controllers, hundreds of times a second. */
   public ObjectNode write() {
     ObjectNode map = Cbor.map();
-    map.set("report", report.write());
+    map.set("report", report.without().write());
     map.put("token", token).put("bw", fetchGbPerS).put("slow", slowness).put("silent", silentMs);
+    Map<Group, BitSet> groups = new LinkedHashMap<>();
+    for (TaskReport task : report.tasks()) {
+      groups
+          .computeIfAbsent(
+              new Group(
+                  task.task().job(), task.attempt(), task.state(), task.cause(), task.saved()),
+              k -> new BitSet())
+          .set(task.task().index());
+    }
+    ArrayNode tasks = map.putArray("tasks");
+    groups.forEach(
+        (g, numbers) ->
+            tasks
+                .addArray()
+                .add(g.job)
+                .add(g.attempt)
+                .add(g.state.ordinal())
+                .add(g.cause == null ? -1 : g.cause.ordinal())
+                .add(g.saved)
+                .add(TaskSet.of(numbers).toString()));
     ArrayNode list = map.putArray("voids");
     for (Void v : voids) {
       list.addObject().put("j", v.job).put("t", v.task).put("a", v.attempt);
@@ -134,7 +167,7 @@
     Map<String, Double> images = new LinkedHashMap<>();
     Read.map(map, "images").fields().forEachRemaining(e -> images.put(e.getKey(), e.getValue().asDouble()));
     return new View(
-        Report.read(Read.map(map, "report")),
+        Report.read(Read.map(map, "report")).with(readTasks(Read.list(map, "tasks"))),
         Read.integer(map, "token"),
         voids,
         images,
@@ -142,4 +175,23 @@
         Read.amount(map, "slow"),
         Read.integer(map, "silent"));
   }
+
+  private static List<TaskReport> readTasks(ArrayNode groups) throws BadInput {
+    List<TaskReport> tasks = new ArrayList<>();
+    try {
+      for (JsonNode g : groups) {
+        String job = g.get(0).textValue();
+        long attempt = g.get(1).longValue();
+        TaskReport.State state = TaskReport.State.values()[g.get(2).intValue()];
+        int cause = g.get(3).intValue();
+        TaskReport.Cause why = cause < 0 ? null : TaskReport.Cause.values()[cause];
+        boolean saved = g.get(4).booleanValue();
+        TaskSet.parse(g.get(5).textValue())
+            .forEach(t -> tasks.add(new TaskReport(new TaskId(job, t), attempt, state, why, saved)));
+      }
+    } catch (RuntimeException e) {
+      throw new BadInput("tasks: not as sent by a peer of this version");
+    }
+    return List.copyOf(tasks);
+  }
 }
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -12,6 +12,7 @@
 import io.tansystack.schedule.MachineHistory;
 import io.tansystack.store.StoreClient;
 import io.tansystack.store.StoreClient.Result;
+import io.tansystack.store.WriteBudget;
 import io.tansystack.wire.Addresses;
 import io.tansystack.wire.Answers;
 import io.tansystack.wire.BadInput;
@@ -32,6 +33,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
@@ -41,7 +43,7 @@
 /**
  * The owner's side of the machines: claims, answers to reports, and commands.
  *
- * <p>A machine's token is the version of its record, so every claim has a higher one. Commands go out
+ * <p>A machine's token is that of {@link World#token}, so every claim has a higher one. Commands go out
  * by {@code /orders} alone, one request at a time for each machine, and only while the newest report
  * shows the current token: then every command sent under an earlier one is void. What to send follows
  * from the records and that report; nothing needs to be remembered of what was sent before. A request
@@ -53,6 +55,7 @@
   private static final Duration CLAIM_WAIT = Duration.ofMillis(3500);
   private static final Duration HALT_AGAIN = Duration.ofSeconds(5);
   private static final Duration COMES_BACK = Duration.ofSeconds(20);
+  private static final double CLAIM_SHARE = 0.25;
   private static final int MAX_COMMANDS = 300;
   private static final int MAX_SENT_AWAY = 10_000;
 
@@ -60,6 +63,10 @@
     final String name;
     final MachineHistory history;
     Report latest;
+
+    /** The newest report's lines by attempt, made once for each report. */
+    Map<String, TaskReport> listed = Map.of();
+
     InetSocketAddress address;
 
     /** Receipt of the last report that was answered with 200. */
@@ -105,6 +112,9 @@
   private final Map<String, List<Claiming>> claims = new HashMap<>();
   private final Map<String, SentAway> sentAway = new HashMap<>();
 
+  /** Claims may use a part of the write limit only: after a crash every machine asks at once. */
+  private final WriteBudget claimPace;
+
   public WorkerDesk(
       Loop loop,
       StoreClient store,
@@ -115,6 +125,7 @@
       String boot,
       String zone,
       Duration workerLease,
+      double writesPerSecond,
       Predicate<String> looksDown,
       Function<String, MachineType> types,
       Function<String, View> views,
@@ -128,6 +139,9 @@
     this.boot = boot;
     this.zone = zone;
     this.workerLease = workerLease;
+    this.claimPace =
+        new WriteBudget(
+            writesPerSecond * CLAIM_SHARE, Math.max(2, writesPerSecond * CLAIM_SHARE * 2), loop.now());
     this.looksDown = looksDown;
     this.types = types;
     this.views = views;
@@ -135,7 +149,7 @@
   }
 
   private boolean mine(MachineRecord record) {
-    return record != null && record.owner().equals(label) && record.boot().equals(boot);
+    return record != null && record.owner().equals(label) && world.alive(label, boot);
   }
 
   /** Serves {@code POST /v1/report}. */
@@ -161,7 +175,8 @@
   }
 
   private void accept(MachineRecord record, Report report, Reply reply) {
-    if (report.token() > record.version()) {
+    long token = world.token(record);
+    if (report.token() > token) {
       // Somebody has claimed it since; our copy of the records is about to say so.
       reply.send(503, Cbor.encode(Answers.error("a later claim exists")));
       return;
@@ -169,7 +184,7 @@
     Duration now = loop.now();
     Machine machine = machine(record, now);
     machine.answeredAt = now;
-    reply.send(200, Cbor.encode(Answers.report(record.version())));
+    reply.send(200, Cbor.encode(Answers.report(token)));
     take(machine, report);
     tend(machine);
   }
@@ -196,6 +211,7 @@
       return;
     }
     machine.latest = report;
+    machine.listed = listed(report);
     try {
       machine.address = Addresses.parse(report.address());
     } catch (BadInput e) {
@@ -218,7 +234,7 @@
     Duration now = loop.now();
     boolean ownerLives =
         record != null
-            && world.alive(record.owner(), record.boot())
+            && world.alive(record.owner())
             && !looksDown.test(record.owner());
     String to = null;
     if (ownerLives && !record.owner().equals(label)) {
@@ -227,7 +243,7 @@
         to = record.owner();
       }
     } else if (!zone.equals(report.zone())) {
-      to = nearController(report.zone());
+      to = nearController(report.machine(), report.zone());
     }
     if (to != null) {
       SentAway before = sentAway.get(report.machine());
@@ -242,6 +258,11 @@
         return;
       }
     }
+    if (!claims.containsKey(report.machine()) && !claimPace.take(1, true, now)) {
+      // Its former owner may be back before its turn comes, and then nobody need claim it.
+      reply.send(503, Cbor.encode(Answers.error("too many machines to claim")));
+      return;
+    }
     sentAway.remove(report.machine());
     claim(record, report, reply);
   }
@@ -251,15 +272,17 @@
     return record != null && record.zone().equals(wanted);
   }
 
-  private String nearController(String wanted) {
+  /** A controller of the zone, by the machine's name: all machines at one of them would be its end. */
+  private String nearController(String machine, String wanted) {
+    List<String> near = new ArrayList<>();
     for (Map.Entry<String, World.ControllerRecord> entry : world.controllers().entrySet()) {
       if (entry.getValue().zone().equals(wanted)
           && !entry.getKey().equals(label)
           && !looksDown.test(entry.getKey())) {
-        return entry.getKey();
+        near.add(entry.getKey());
       }
     }
-    return null;
+    return near.isEmpty() ? null : near.get(Math.floorMod(machine.hashCode(), near.size()));
   }
 
   private void claim(MachineRecord before, Report report, Reply reply) {
@@ -272,7 +295,6 @@
         new MachineRecord(
             report.machine(),
             label,
-            boot,
             report.address(),
             report.type(),
             report.zone(),
@@ -320,8 +342,12 @@
         });
   }
 
-  /** The records have changed: claims may have come true, and commands may follow. */
-  public void worldChanged() {
+  /**
+   * The records of these machines, or what is recorded on them, have changed: claims may have come
+   * true, and commands may follow. Looking at all machines for each change is what a large cluster
+   * can't afford; what is due by time alone is found by the tick.
+   */
+  public void worldChanged(Set<String> touched) {
     for (String name : List.copyOf(claims.keySet())) {
       MachineRecord record = world.machine(name);
       if (mine(record)) {
@@ -329,15 +355,14 @@
         waiting.forEach(c -> accept(record, c.report, c.reply));
       }
     }
-    // Ours by a claim whose answer was lost, or adopted: its silence has to be timed too.
-    for (MachineRecord record : world.machines().values()) {
-      if (mine(record)) {
-        machine(record, loop.now());
+    for (String name : touched) {
+      MachineRecord record = world.machine(name);
+      // Ours by a claim whose answer was lost, or adopted: its silence has to be timed too.
+      Machine machine = mine(record) ? machine(record, loop.now()) : machines.get(name);
+      if (machine != null) {
+        tend(machine);
       }
     }
-    for (Machine machine : List.copyOf(machines.values())) {
-      tend(machine);
-    }
   }
 
   /** Once a second or so: what is due by time alone. */
@@ -357,23 +382,12 @@
 
   /** Takes over a machine whose owner has ended and that reports to nobody. */
   public void adopt(MachineRecord orphan) {
-    if (claims.containsKey(orphan.name())) {
+    if (claims.containsKey(orphan.name()) || !claimPace.take(1, true, loop.now())) {
       return;
     }
-    MachineRecord next =
-        new MachineRecord(
-            orphan.name(),
-            label,
-            boot,
-            orphan.address(),
-            orphan.type(),
-            orphan.zone(),
-            orphan.spot(),
-            orphan.drain(),
-            0);
     write(
         orphan,
-        next,
+        orphan.ownedBy(label),
         "its owner has ended and it reports to nobody",
         result -> {});
   }
@@ -394,7 +408,7 @@
     if (!mine(record) || !lease.valid() || machine.claiming) {
       return;
     }
-    boolean shown = machine.latest != null && machine.latest.token() >= record.version();
+    boolean shown = machine.latest != null && machine.latest.token() >= world.token(record);
     Duration from = machine.answeredAt;
     if (!shown && machine.formerOwnerUntil.compareTo(from) > 0) {
       from = machine.formerOwnerUntil;
@@ -406,7 +420,11 @@
     machine.claiming = true;
     String key = World.machineKey(machine.name);
     store.commitUrgent(
-        List.of(new Condition(key, record.version())),
+        // The second condition voids what an earlier start of this process may still have under way:
+        // the machine may have come back since, under the same record.
+        List.of(
+            new Condition(key, record.version()),
+            new Condition(World.controllerKey(label), world.controllers().get(label).version())),
         List.of(new Write(key, null, 0)),
         Duration.ofSeconds(2),
         (result, revision) -> {
@@ -432,14 +450,15 @@
       return;
     }
     Duration now = loop.now();
-    if (machine.doubtfulToken == record.version()) {
+    long token = world.token(record);
+    if (machine.doubtfulToken == token) {
       if (!machine.claiming && now.compareTo(machine.quietUntil) >= 0) {
         reclaim(machine, record);
       }
       tell(machine, record, List.of(), now);
       return;
     }
-    boolean shown = latest.token() == record.version();
+    boolean shown = latest.token() == token;
     boolean quiet = !machine.ordersInFlight;
     tell(machine, record, shown && quiet ? voids(machine, latest) : List.of(), now);
     if (!shown || !quiet || machine.address == null || now.compareTo(machine.quietUntil) < 0) {
@@ -447,27 +466,16 @@
     }
     List<Command> commands = wanted(machine, latest, now);
     if (!commands.isEmpty()) {
-      send(machine, record.version(), latest.session(), commands);
+      send(machine, token, latest.session(), commands);
     }
   }
 
   private void reclaim(Machine machine, MachineRecord record) {
     machine.claiming = true;
-    MachineRecord next =
-        new MachineRecord(
-            record.name(),
-            label,
-            boot,
-            record.address(),
-            record.type(),
-            record.zone(),
-            record.spot(),
-            record.drain(),
-            0);
     write(
         record,
-        next,
-        "commands without an answer under token " + record.version(),
+        record.ownedBy(label),
+        "commands without an answer under token " + machine.doubtfulToken,
         result -> {
           machine.claiming = false;
           if (result != Result.DONE) {
@@ -488,11 +496,10 @@
         continue;
       }
       String job = placed.job().id();
-      Map<String, TaskReport> listed = listed(latest);
       p.tasks()
           .forEach(
               task -> {
-                if (!listed.containsKey(key(job, task, p.attempt()))) {
+                if (!machine.listed.containsKey(key(job, task, p.attempt()))) {
                   voids.add(new View.Void(job, task, p.attempt()));
                 }
               });
@@ -515,7 +522,7 @@
   private List<Command> wanted(Machine machine, Report latest, Duration now) {
     List<Command> commands = new ArrayList<>();
     List<Command> halts = new ArrayList<>();
-    Map<String, TaskReport> listed = listed(latest);
+    Map<String, TaskReport> listed = machine.listed;
     machine.halted.keySet().retainAll(listed.keySet());
     for (Map.Entry<String, TaskReport> entry : listed.entrySet()) {
       TaskReport task = entry.getValue();
@@ -640,7 +647,7 @@
     View old = machine.published;
     boolean news =
         old == null
-            || old.token() != record.version()
+            || old.token() != world.token(record)
             || old.report().session() != machine.latest.session()
             || old.report().token() != machine.latest.token()
             || !old.report().tasks().equals(machine.latest.tasks())
@@ -652,7 +659,7 @@
     View view =
         new View(
             machine.latest,
-            record.version(),
+            world.token(record),
             voids,
             machine.history.images(),
             machine.history.fetchGbPerS(),
--- a/src/test/java/io/tansystack/jobs/JobRecordTest.java
+++ b/src/test/java/io/tansystack/jobs/JobRecordTest.java
@@ -13,6 +13,8 @@
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.Priority;
 import io.tansystack.wire.Shape;
+import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -103,4 +105,58 @@
       assertEquals(record, JobRecord.read(Cbor.decodeMap(stored)));
     }
   }
+
+  /**
+   * The worst mix: as many machines as a record may hold, each with tasks from all over the window,
+   * every second one stopped, ends scattered. A record that can't be written would be stuck for ever.
+   */
+  @ParameterizedTest
+  @CsvSource({"16384,1200", "16384,100000", "32768,1200", "32768,100000"})
+  void theLongestRecordFitsIntoOneValue(int valueBytes, int tasks) {
+    RecordLimit limit = new RecordLimit(valueBytes);
+    String longName = "x".repeat(limit.description() - 400);
+    JobSpec spec =
+        new JobSpec(
+            "wk-00000000000000000001", longName, "t", Shape.ARRAY, Priority.LOW, tasks, 1, 0, 1,
+            "i", 1, null, null, false, false, true, 10, 0, 0, 1000.0);
+    assertTrue(limit.accepts(spec));
+    // All below the last window is done.
+    int from = Math.max(0, tasks - limit.window());
+    BitSet prefix = new BitSet();
+    prefix.set(0, from);
+    JobRecord record =
+        new JobRecord(spec, Long.MAX_VALUE / 2, Phase.ACTIVE, TaskSet.of(prefix), 99_999, List.of());
+    int machines = limit.placedAtOnce();
+    List<Assignment> round = new ArrayList<>();
+    for (int m = 0; m < machines; m++) {
+      BitSet part = new BitSet();
+      for (int t = from + m; t < tasks; t += machines) {
+        part.set(t);
+      }
+      round.add(new Assignment(String.format("n-%06d", m), 99, TaskSet.of(part)));
+    }
+    record = record.placed(round);
+    assertTrue(limit.allows(record));
+    assertTrue(Cbor.jsonSize(record.write()) <= valueBytes);
+    for (Assignment part : round) {
+      List<Over> ends = new ArrayList<>();
+      BitSet stop = new BitSet();
+      part.tasks().forEach(
+          t -> {
+            if (t / machines % 3 == 0) {
+              ends.add(new Over(t, 100_000, part.machine(), true));
+            } else if (t / machines % 3 == 1) {
+              stop.set(t);
+            }
+          });
+      record = record.absorbed(ends);
+      assertTrue(Cbor.jsonSize(record.write()) <= valueBytes);
+      JobRecord split = record.stopped(part.machine(), TaskSet.of(stop));
+      if (limit.allows(split)) {
+        record = split;
+        assertTrue(Cbor.jsonSize(record.write()) <= valueBytes);
+      }
+    }
+    assertTrue(record.placements().size() > machines, "some were split");
+  }
 }
--- a/src/test/java/io/tansystack/schedule/PlannerTest.java
+++ b/src/test/java/io/tansystack/schedule/PlannerTest.java
@@ -70,7 +70,7 @@
   }
 
   private Plan plan() {
-    return Planner.plan(new Snapshot(machines, booting, jobs, teams), 100, 8000, 30);
+    return Planner.plan(new Snapshot(machines, booting, jobs, teams), 100, 100, 30);
   }
 
   private static int placed(Plan plan, String job, String machine) {
--- a/src/test/java/io/tansystack/sim/ClusterTest.java
+++ b/src/test/java/io/tansystack/sim/ClusterTest.java
@@ -348,6 +348,8 @@
     cases.put(Cbor.encode(good.deepCopy().put("Cpus", 64)), 422);
     cases.put(Cbor.encode(good.deepCopy().put("Shape", "group").put("Wagons", 41)), 422);
     cases.put(Cbor.encode(good.deepCopy().put("Yard", "z")), 422);
+    cases.put(Cbor.encode(good.deepCopy().put("Consist", "x".repeat(201))), 400);
+    cases.put(Cbor.encode(good.deepCopy().put("Shape", "service").put("Wagons", 99_999)), 422);
     cases.put(Cbor.encode(good), 201);
     ObjectNode[] answer = new ObjectNode[1];
     int n = 0;
@@ -371,6 +373,40 @@
     assertEquals("withdrawn", state("wk-000001"));
   }
 
+  /**
+   * A start of a controller gives its machines a higher token by itself. Claiming hundreds of them
+   * again would use up the write limit while users wait.
+   */
+  @Test
+  void aRestartOfAllNeedsNoClaimsAndTheWorkGoesOn() throws Exception {
+    controllerCount = 3;
+    for (int i = 0; i < 3; i++) {
+      boot(i);
+    }
+    loop.runFor(Duration.ofSeconds(2));
+    submit("wk-000001", 40);
+    loop.runFor(Duration.ofSeconds(15));
+    Map<String, Long> before = new HashMap<>();
+    workers.keySet().forEach(name -> before.put(name, store.version("ts/machines/" + name)));
+    assertTrue(before.values().stream().filter(version -> version > 0).count() > 1);
+    for (int i = 0; i < 3; i++) {
+      kill(i);
+    }
+    loop.runFor(Duration.ofSeconds(3));
+    for (int i = 0; i < 3; i++) {
+      boot(i);
+    }
+    loop.runFor(Duration.ofSeconds(12));
+    before.forEach(
+        (name, version) -> assertEquals(version, store.version("ts/machines/" + name), name));
+    for (StandInWorker worker : workers.values()) {
+      assertTrue(worker.token > before.get(worker.name), "told apart from the earlier start");
+    }
+    loop.runFor(Duration.ofSeconds(120));
+    assertEquals("done", state("wk-000001"));
+    assertEquals(40, started.size(), "nothing was lost and nothing ran twice");
+  }
+
   /** Its peers take its slots long before its lease of 17.5 s has ended. */
   @Test
   void theSlotsOfOneThatTheStateServiceRefusesAreTakenSoon() throws Exception {
--- a/src/test/java/io/tansystack/sim/StandInStore.java
+++ b/src/test/java/io/tansystack/sim/StandInStore.java
@@ -35,6 +35,10 @@
     expire();
   }
 
+  long version(String key) {
+    return entries.containsKey(key) ? entries.get(key).version : 0;
+  }
+
   private void expire() {
     for (Long lease : List.copyOf(leases.keySet())) {
       if (loop.now().compareTo(leases.get(lease)) > 0) {
--- a/src/test/java/io/tansystack/sim/StandInWorker.java
+++ b/src/test/java/io/tansystack/sim/StandInWorker.java
@@ -26,7 +26,7 @@
   private final List<String> started;
   long session = 1;
   private long seq;
-  private long token;
+  long token;
   private Duration leaseFrom;
   int target;
   boolean dead;
--- a/src/test/java/io/tansystack/workers/ProofsTest.java
+++ b/src/test/java/io/tansystack/workers/ProofsTest.java
@@ -1,6 +1,8 @@
 package io.tansystack.workers;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.tansystack.cluster.World.MachineRecord;
 import io.tansystack.jobs.JobRecord;
@@ -14,9 +16,12 @@
 import io.tansystack.wire.TaskReport;
 import io.tansystack.wire.TaskReport.Cause;
 import io.tansystack.wire.TaskReport.State;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -25,7 +30,7 @@
 class ProofsTest {
   private static final long TOKEN = 50;
   private static final MachineRecord MACHINE =
-      new MachineRecord("n-1", "c-0", "b", "127.0.0.1:1", "g8", "a", false, false, TOKEN);
+      new MachineRecord("n-1", "c-0", "127.0.0.1:1", "g8", "a", false, false, TOKEN);
 
   /** Task 0 of wk-1 on n-1 in session 2, attempt 1. */
   private static final JobRecord RECORD =
@@ -70,12 +75,37 @@
   @ParameterizedTest(name = "{0}")
   @MethodSource("cases")
   void proofsAndNearMisses(String name, MachineRecord machine, View view, int over, int conditions) {
-    Proofs proofs = Proofs.collect("wk-1", RECORD, m -> view, m -> machine, m -> "key/" + m);
+    Proofs proofs = Proofs.collect("wk-1", RECORD, m -> view, m -> machine, MachineRecord::version, 10);
     assertEquals(over, proofs.over().size());
     assertEquals(conditions, proofs.conditions().size());
     conditions(proofs);
   }
 
+  /** A round that needs more conditions than a transaction holds could never be written. */
+  @Test
+  void moreWordsOfOwnersThanATransactionHoldsAreTakenInTurn() {
+    JobRecord record = JobRecord.created(RECORD.spec(), 0);
+    List<Assignment> round = new ArrayList<>();
+    for (int i = 0; i < 5; i++) {
+      round.add(new Assignment("n-" + i, 2, TaskSet.range(i, i + 1)));
+    }
+    record = record.placed(round).cancelled();
+    int rounds = 0;
+    while (record.spec() != null && rounds++ < 10) {
+      Proofs proofs =
+          Proofs.collect(
+              "wk-1",
+              record,
+              m -> view(2, TOKEN, List.of(new View.Void("wk-1", Integer.parseInt(m.substring(2)), 1))),
+              m -> MACHINE,
+              MachineRecord::version,
+              2);
+      assertEquals(Math.min(2, record.placements().size()), proofs.conditions().size());
+      record = record.absorbed(proofs.over());
+    }
+    assertEquals(3, rounds);
+  }
+
   private static void conditions(Proofs proofs) {
     proofs.conditions().forEach(c -> assertEquals(TOKEN, c.version()));
   }
@@ -89,6 +119,26 @@
       assertEquals(view.report(), back.report());
       assertEquals(view.voids(), back.voids());
       assertEquals(view.token(), back.token());
+      assertTrue(back.provesTheSame(view));
+    }
+  }
+
+  /** Tasks travel in groups; each must arrive with its own state. */
+  @Test
+  void manyTasksTravelInGroups() throws Exception {
+    List<TaskReport> tasks = new ArrayList<>();
+    for (int i = 0; i < 30; i++) {
+      tasks.add(
+          i % 3 == 0
+              ? task(i, 1, State.RUNNING, null)
+              : task(i, i % 2, State.EXITED, i % 3 == 1 ? Cause.DONE : Cause.ERROR));
     }
+    View view = view(2, TOKEN, List.of(), tasks.toArray(new TaskReport[0]));
+    View back = View.read(view.write());
+    assertEquals(Set.copyOf(tasks), Set.copyOf(back.report().tasks()));
+    assertEquals(30, back.report().tasks().size());
+    assertEquals(view.report().without(), back.report().without());
+    assertFalse(view(2, TOKEN, List.of()).provesTheSame(view));
+    assertFalse(view(2, TOKEN, List.of(new View.Void("wk-1", 0, 1))).provesTheSame(view(2, TOKEN, List.of())));
   }
 }
