--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -83,7 +83,7 @@
             new WriteBudget(share, Math.max(2, share), loop.now()),
             random);
     this.world = new World(this::worldChanged);
-    double watches = settings.store().rps() * 0.4 / size;
+    double watches = settings.store().rps() * 0.3 / size;
     this.watcher =
         new Watcher(
             store,
@@ -100,9 +100,11 @@
             caller,
             loop,
             label,
+            boot,
             settings.peers(),
             this::useful,
             this::viewFromPeer,
+            this::told,
             this::fleetNews,
             this::heardOfFleet);
     this.slots = new SlotDuty(loop, store, world, lease, label, boot, peers::looksDown);
@@ -183,7 +185,7 @@
         () -> {
           slots.turn();
           jobs.touched(touched);
-          desk.worldChanged(touched.machines());
+          desk.worldChanged(touched);
         });
     jobs.wake();
   }
@@ -209,6 +211,10 @@
     peers.publish(view);
   }
 
+  private List<View> told() {
+    return desk.told();
+  }
+
   private void viewFromPeer(View view) {
     // What we own we know better ourselves.
     if (desk.silentFor(view.report().machine()) == null) {
@@ -220,7 +226,7 @@
     View old = views.get(view.report().machine());
     if (old == null || view.newerThan(old)) {
       views.put(view.report().machine(), view);
-      jobs.viewChanged(view.report().machine(), old == null || !view.provesTheSame(old));
+      jobs.viewChanged(old, view);
     }
   }
 
--- a/src/main/java/io/tansystack/cluster/PeerLink.java
+++ b/src/main/java/io/tansystack/cluster/PeerLink.java
@@ -34,7 +34,11 @@
   private static final Logger log = LoggerFactory.getLogger(PeerLink.class);
   private static final Duration BEAT = Duration.ofMillis(500);
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
-  private static final int MAX_BATCH = 40;
+
+  /** Messages grow with the square of the controllers, so each waits longer where there are more. */
+  private static final Duration DELAY = Duration.ofMillis(10);
+
+  private static final int MAX_BATCH = 100;
 
   /** A body may hold this much: a batch of views of full machines. */
   public static final int MAX_BODY = 1 << 20;
@@ -45,6 +49,9 @@
   private final String label;
   private final BooleanSupplier valid;
   private final Consumer<View> received;
+  private final Supplier<List<View>> told;
+  private final String boot;
+  private final Duration delay;
   private final Supplier<ObjectNode> fleetNews;
   private final Consumer<ObjectNode> fleetNewsReceived;
   private final Map<String, Link> links = new LinkedHashMap<>();
@@ -69,6 +76,7 @@
   private static final class Link {
     final Peer peer;
     final Map<String, Outgoing> pending = new LinkedHashMap<>();
+    String boot = "";
     boolean inFlight;
     boolean scheduled;
     boolean said = true;
@@ -85,14 +93,19 @@
       HttpCaller caller,
       Loop loop,
       String label,
+      String boot,
       List<Peer> peers,
       BooleanSupplier valid,
       Consumer<View> received,
+      Supplier<List<View>> told,
       Supplier<ObjectNode> fleetNews,
       Consumer<ObjectNode> fleetNewsReceived) {
     this.caller = caller;
     this.loop = loop;
     this.label = label;
+    this.boot = boot;
+    this.told = told;
+    this.delay = DELAY.multipliedBy((long) Math.max(1, peers.size() * peers.size()));
     this.valid = valid;
     this.received = received;
     this.fleetNews = fleetNews;
@@ -114,15 +127,19 @@
     Outgoing outgoing = new Outgoing(view);
     for (Link link : links.values()) {
       link.pending.put(view.report().machine(), outgoing);
-      if (!link.scheduled) {
-        link.scheduled = true;
-        loop.after(
-            Duration.ofMillis(30),
-            () -> {
-              link.scheduled = false;
-              send(link);
-            });
-      }
+      sendSoon(link);
+    }
+  }
+
+  private void sendSoon(Link link) {
+    if (!link.scheduled) {
+      link.scheduled = true;
+      loop.after(
+          delay,
+          () -> {
+            link.scheduled = false;
+            send(link);
+          });
     }
   }
 
@@ -130,7 +147,8 @@
     if (link.inFlight) {
       return;
     }
-    ObjectNode message = Cbor.map().put("from", label).put("valid", valid.getAsBoolean());
+    ObjectNode message = 
+        Cbor.map().put("from", label).put("boot", boot).put("valid", valid.getAsBoolean());
     ObjectNode fleet = fleetNews.get();
     if (fleet != null) {
       message.set("fleet", fleet);
@@ -165,7 +183,7 @@
             link.refusedSince = null;
             link.heardAt = loop.now();
             if (!link.pending.isEmpty()) {
-              send(link);
+              sendSoon(link);
             }
           }
 
@@ -182,6 +200,15 @@
         });
   }
 
+  /** A peer that has started anew knows nothing of the machines here, and most have no news. */
+  private void greet(Link link, String itsBoot) {
+    if (!link.boot.equals(itsBoot)) {
+      link.boot = itsBoot;
+      told.get().forEach(view -> link.pending.putIfAbsent(view.report().machine(), new Outgoing(view)));
+      sendSoon(link);
+    }
+  }
+
   private byte[] encode(JsonNode tree) {
     try {
       return msgpack.writeValueAsBytes(tree);
@@ -198,6 +225,7 @@
       Link link = links.get(Read.text(message, "from"));
       if (link != null) {
         link.said = Read.flag(message, "valid");
+        greet(link, Read.text(message, "boot"));
         link.heardAt = loop.now();
         link.refusedSince = null;
       }
--- a/src/main/java/io/tansystack/cluster/World.java
+++ b/src/main/java/io/tansystack/cluster/World.java
@@ -84,15 +84,22 @@
   /**
    * What a batch of changes concerns, so that nothing else need be looked at again.
    *
-   * @param machines machines whose record changed, or what is recorded on them
+   * @param machines machines whose own record changed
+   * @param placedOn machines on which something else is recorded than before
    * @param controllers whether controllers came, went or started anew
    */
-  public record Touched(Set<String> jobs, Set<String> machines, boolean controllers) {}
+  public record Touched(
+      Set<String> jobs, Set<String> machines, Set<String> placedOn, boolean controllers) {}
 
   private final Map<String, ControllerRecord> controllers = new TreeMap<>();
   private final Holder[] slots = new Holder[SLOTS];
+
+  /** Sorted, so that all controllers go through them in the same order; looked up in the index. */
   private final Map<String, Job> jobs = new TreeMap<>();
+
+  private final Map<String, Job> jobIndex = new HashMap<>();
   private final Map<String, MachineRecord> machines = new TreeMap<>();
+  private final Map<String, MachineRecord> machineIndex = new HashMap<>();
   private final Map<String, Long> teams = new HashMap<>();
   private Holder fleet;
   private ObjectNode types;
@@ -101,6 +108,7 @@
   private final Map<String, List<Placed>> byMachine = new HashMap<>();
   private Set<String> touchedJobs = new HashSet<>();
   private Set<String> touchedMachines = new HashSet<>();
+  private Set<String> touchedPlacedOn = new HashSet<>();
   private boolean touchedControllers;
   private long revision = -1;
   private final Consumer<Touched> changed;
@@ -166,9 +174,11 @@
   }
 
   private void tell() {
-    Touched touched = new Touched(touchedJobs, touchedMachines, touchedControllers);
+    Touched touched = 
+        new Touched(touchedJobs, touchedMachines, touchedPlacedOn, touchedControllers);
     touchedJobs = new HashSet<>();
     touchedMachines = new HashSet<>();
+    touchedPlacedOn = new HashSet<>();
     touchedControllers = false;
     changed.accept(touched);
   }
@@ -215,7 +225,9 @@
       case "types" -> types = value;
       case "teams" -> put(teams, key.substring(slash + 1), value == null ? null : version);
       case "machines" -> {
-        put(machines, name, value == null ? null : readMachine(name, value, version));
+        MachineRecord machine = value == null ? null : readMachine(name, value, version);
+        put(machines, name, machine);
+        put(machineIndex, name, machine);
         touchedMachines.add(name);
       }
       case "jobs" -> {
@@ -224,7 +236,7 @@
           keep(id, null);
           return;
         }
-        Job before = jobs.get(id);
+        Job before = jobIndex.get(id);
         JobRecord record = JobRecord.read(value, before == null ? null : before.record().spec());
         if (!record.active()) {
           finals.put(id, record.phase());
@@ -270,17 +282,24 @@
     }
   }
 
-  /** Replaces what is known of a job (null: nothing), and what is recorded on its machines. */
+  /**
+   * Replaces what is known of a job (null: nothing), and what is recorded on its machines. Only those
+   * on which its part changed count as touched: most writes concern few of a job's many machines.
+   */
   private void keep(String id, Job job) {
-    Job old = job == null ? jobs.remove(id) : jobs.put(id, job);
+    Job old = jobIndex.get(id);
+    put(jobs, id, job);
+    put(jobIndex, id, job);
     touchedJobs.add(id);
+    boolean whole = old == null || job == null || old.record().phase() != job.record().phase();
+    Set<Placement> gone = new HashSet<>();
     if (old != null) {
+      gone.addAll(old.record().placements());
       for (Placement placement : old.record().placements()) {
         List<Placed> on = byMachine.get(placement.machine());
         if (on != null && on.removeIf(placed -> placed.job() == old) && on.isEmpty()) {
           byMachine.remove(placement.machine());
         }
-        touchedMachines.add(placement.machine());
       }
     }
     if (job != null) {
@@ -288,9 +307,12 @@
         byMachine
             .computeIfAbsent(placement.machine(), k -> new ArrayList<>())
             .add(new Placed(job, placement));
-        touchedMachines.add(placement.machine());
+        if (!gone.remove(placement) || whole) {
+          touchedPlacedOn.add(placement.machine());
+        }
       }
     }
+    gone.forEach(placement -> touchedPlacedOn.add(placement.machine()));
   }
 
   public long revision() {
@@ -323,7 +345,7 @@
   }
 
   public Job job(String id) {
-    return jobs.get(id);
+    return jobIndex.get(id);
   }
 
   /** The final state, if the job is known to have one; it never changes again. */
@@ -336,7 +358,7 @@
   }
 
   public MachineRecord machine(String name) {
-    return machines.get(name);
+    return machineIndex.get(name);
   }
 
   public long teamVersion(String team) {
--- a/src/main/java/io/tansystack/jobs/JobDuty.java
+++ b/src/main/java/io/tansystack/jobs/JobDuty.java
@@ -36,7 +36,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -57,7 +56,7 @@
    * all controllers together must not spend more on planning than on anything else. Shorter where
    * one of our jobs has just come.
    */
-  private static final int REST = 40;
+  private static final int REST = 80;
 
   private static final int SHORT_REST = 8;
 
@@ -102,7 +101,10 @@
   private final Set<String> teamsInFlight = new HashSet<>();
 
   /** Each job's record with all proofs taken in, and those proofs; kept up to date job by job. */
-  private final Map<String, JobRecord> effective = new TreeMap<>();
+  private final Map<String, JobRecord> effective = new HashMap<>();
+
+  private List<String> order = new ArrayList<>();
+  private boolean orderChanged;
 
   private final Map<String, Proofs> proofs = new HashMap<>();
   private final Map<String, MachineState> states = new HashMap<>();
@@ -198,9 +200,7 @@
       return;
     }
     settlePending();
-    for (String id : dirtyJobs) {
-      refresh(id);
-    }
+    dirtyJobs.forEach(this::refresh);
     dirtyJobs.clear();
     snapshot = snapshot();
     plan = Planner.plan(
@@ -232,13 +232,21 @@
     }
   }
 
-  /** A machine's owner has told something new of it; {@code proof} if placements may be over by it. */
-  public void viewChanged(String machine, boolean proof) {
-    if (proof) {
+  /** A machine's owner has told something new of it; {@code old} is what was known before, or null. */
+  public void viewChanged(View old, View view) {
+    String machine = view.report().machine();
+    if (old == null
+        || old.token() != view.token()
+        || old.report().session() != view.report().session()) {
       touchedMachine(machine);
       wake();
-    } else {
-      states.remove(machine);
+      return;
+    }
+    states.remove(machine);
+    Set<String> concerned = view.provesMoreThan(old);
+    if (!concerned.isEmpty()) {
+      dirtyJobs.addAll(concerned);
+      wake();
     }
   }
 
@@ -267,7 +275,7 @@
   private void refresh(String id) {
     Job job = world.job(id);
     if (job == null) {
-      effective.remove(id);
+      orderChanged |= effective.remove(id) != null;
       proofs.remove(id);
       troubles.remove(id);
       lastWrite.remove(id);
@@ -287,7 +295,7 @@
       }
       record = record.absorbed(found.over());
     }
-    effective.put(id, record);
+    orderChanged |= effective.put(id, record) == null;
   }
 
   /** The record as last written by this controller, while the copy doesn't show it yet. */
@@ -310,11 +318,10 @@
       }
       machines.add(known);
     }
-    states.keySet().retainAll(world.machines().keySet());
     Duration now = loop.now();
     long wallMs = clock.millis();
     List<JobState> jobs = new ArrayList<>();
-    for (Map.Entry<String, JobRecord> entry : effective.entrySet()) {
+    for (Map.Entry<String, JobRecord> entry : inOrder()) {
       if (entry.getValue().spec() == null) {
         continue;
       }
@@ -334,6 +341,22 @@
     return new Snapshot(machines, booting.get(), jobs, teams);
   }
 
+  /** By arrival: the planner sorts what is sorted already, which costs little. */
+  private List<Map.Entry<String, JobRecord>> inOrder() {
+    if (orderChanged) {
+      order = new ArrayList<>(effective.keySet());
+      order.sort(
+          Comparator.comparingLong((String id) -> effective.get(id).submittedMs())
+              .thenComparing(Comparator.naturalOrder()));
+      orderChanged = false;
+    }
+    List<Map.Entry<String, JobRecord>> entries = new ArrayList<>(order.size());
+    for (String id : order) {
+      entries.add(Map.entry(id, effective.get(id)));
+    }
+    return entries;
+  }
+
   private MachineState state(MachineRecord record, MachineType type, View view) {
     Set<String> coming = new HashSet<>();
     double queued = 0;
--- a/src/main/java/io/tansystack/schedule/Planner.java
+++ b/src/main/java/io/tansystack/schedule/Planner.java
@@ -45,6 +45,9 @@
   private final Plan plan = new Plan(new LinkedHashMap<>(), new LinkedHashMap<>(), new ArrayList<>());
   private final Preemption preemption;
 
+  /** Replicas that are being stopped; they come back elsewhere. */
+  private int replicasMoving;
+
   /** What found no machine at all in this pass: room only shrinks while it goes on. */
   private final List<Ask> fullFor = new ArrayList<>();
 
@@ -81,42 +84,61 @@
         Comparator.comparingLong((JobState j) -> j.record().submittedMs())
             .thenComparing(JobState::id));
     teams.markGuaranteed(order);
-    order.sort(
-        Comparator.comparingInt((JobState j) -> j.record().spec().priority().ordinal())
-            .thenComparing(j -> !teams.guaranteed(j.id())));
+    order = byPriority(order);
     ReplicaMoves moves = new ReplicaMoves(rooms, keep, plan, this::candidates);
     boolean moved = false;
     for (JobState job : order) {
       if (!moved && job.record().spec().priority() == Priority.LOW) {
-        moves.run(order);
+        moves.run(order, replicasMoving);
         moved = true;
       }
       place(job);
     }
     if (!moved) {
-      moves.run(order);
+      moves.run(order, replicasMoving);
     }
     return plan;
   }
 
+  /** By priority, work within its team's guarantee first, and by arrival within that. */
+  private List<JobState> byPriority(List<JobState> byArrival) {
+    List<List<JobState>> classes = new ArrayList<>();
+    for (int i = 0; i < 2 * Priority.values().length; i++) {
+      classes.add(new ArrayList<>());
+    }
+    for (JobState job : byArrival) {
+      int at = 2 * job.record().spec().priority().ordinal();
+      classes.get(teams.guaranteed(job.id()) ? at : at + 1).add(job);
+    }
+    List<JobState> order = new ArrayList<>(byArrival.size());
+    classes.forEach(order::addAll);
+    return order;
+  }
+
   /** Takes the room of what exists, and counts it against the team's limit. */
   private void count(JobState job) {
     JobSpec spec = job.record().spec();
     keep.count(job);
+    int all = 0;
+    boolean active = job.record().active();
     for (Placement p : job.record().placements()) {
       int n = p.tasks().size();
-      teams.add(spec, n);
+      all += n;
       Room room = rooms.get(p.machine());
       if (room == null) {
         continue;
       }
       room.take(spec, n);
-      if (p.stop() || !job.record().active()) {
+      if (p.stop() || !active) {
         room.leaveSoon(spec, n);
+        if (active && spec.shape() == Shape.SERVICE) {
+          replicasMoving += n;
+        }
       } else {
         room.hold(new Held(job, p));
       }
     }
+    teams.add(spec, all);
   }
 
   private void place(JobState job) {
--- a/src/main/java/io/tansystack/schedule/Preemption.java
+++ b/src/main/java/io/tansystack/schedule/Preemption.java
@@ -15,6 +15,8 @@
 
 /** Chooses whom to stop, so that work which may take their place finds room. */
 final class Preemption {
+  private static final int ENOUGH = 24;
+
   private record Victim(Held held, int tasks) {}
 
   /** The least that has to be stopped on a machine for one more task. */
@@ -30,14 +32,16 @@
 
   /**
    * Stops tasks for those of the job that found no room, where it costs least first. Each machine is
-   * judged once, and again only after something was stopped on it. Returns how many tasks are left.
+   * judged once, and again only after something was stopped on it; where there are many to choose
+   * from, not all are looked at. Returns how many tasks are left.
    */
   int stopFor(JobState job, int left, List<Room> rooms, Object2IntOpenHashMap<String> zones) {
     JobSpec spec = job.record().spec();
     boolean owed = teams.guaranteed(job.id());
     PriorityQueue<Offer> offers =
         new PriorityQueue<>(Comparator.comparingDouble(Offer::loss).thenComparingInt(Offer::order));
-    for (int i = 0; i < rooms.size(); i++) {
+    int enough = ENOUGH + 2 * left;
+    for (int i = 0; i < rooms.size() && offers.size() < enough; i++) {
       if (owed || rooms.get(i).fitsWithoutLower(spec)) {
         offer(job, rooms.get(i), i, offers);
       }
--- a/src/main/java/io/tansystack/schedule/ReplicaMoves.java
+++ b/src/main/java/io/tansystack/schedule/ReplicaMoves.java
@@ -47,20 +47,21 @@
     this.candidates = candidates;
   }
 
-  void run(List<JobState> active) {
-    int moving = 0;
+  void run(List<JobState> active, int alreadyMoving) {
+    int moving = alreadyMoving;
+    if (moving >= MAX_MOVING) {
+      return;
+    }
+    List<Room> toEmpty = toEmpty();
+    if (toEmpty.isEmpty()) {
+      return;
+    }
     for (JobState job : active) {
       if (job.record().spec().shape() == Shape.SERVICE) {
         jobs.put(job.id(), job);
-        for (Placement p : job.record().placements()) {
-          moving += p.stop() ? p.tasks().size() : 0;
-        }
       }
     }
-    if (moving >= MAX_MOVING) {
-      return;
-    }
-    for (Room from : toEmpty()) {
+    for (Room from : toEmpty) {
       for (Held held : List.copyOf(from.held())) {
         JobState job = jobs.get(held.job().id());
         if (job != null && movable(job) && move(job, held, from) && ++moving >= MAX_MOVING) {
@@ -114,7 +115,8 @@
     int fewest = Integer.MAX_VALUE;
     for (Room room : rooms.values()) {
       MachineState m = room.machine;
-      if (!m.open()
+      if (!room.holdsReplicas()
+          || !m.open()
           || !need.allows(m.type().name(), m.zone(), m.spot())
           || clearing.contains(room)) {
         continue;
--- a/src/main/java/io/tansystack/schedule/Room.java
+++ b/src/main/java/io/tansystack/schedule/Room.java
@@ -5,6 +5,7 @@
 import io.tansystack.schedule.Snapshot.MachineState;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.Priority;
+import io.tansystack.wire.Shape;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -40,8 +41,9 @@
   double soonMem;
   private double queuedGb;
   private Set<String> coming;
-  private final List<Held> held = new ArrayList<>();
+  private final List<Held> held = new ArrayList<>(16);
   private boolean sorted = true;
+  private int replicas;
 
   /** What stands here by priority, as cpus, gpus, memory: tells at once where stopping can't help. */
   private final double[] heldBy = new double[3 * Priority.values().length];
@@ -140,6 +142,7 @@
 
   private void addHeld(Held tasks, int n) {
     JobSpec spec = tasks.job().record().spec();
+    replicas += spec.shape() == Shape.SERVICE ? n : 0;
     int at = 3 * spec.priority().ordinal();
     heldBy[at] += n * spec.cpus();
     heldBy[at + 1] += n * spec.gpus();
@@ -155,6 +158,10 @@
     return held;
   }
 
+  boolean holdsReplicas() {
+    return replicas > 0;
+  }
+
   /** Whether the task could fit if all of a lower priority left; without it, stopping is in vain. */
   boolean fitsWithoutLower(JobSpec s) {
     double c = cpus + soonCpus;
--- a/src/main/java/io/tansystack/workers/View.java
+++ b/src/main/java/io/tansystack/workers/View.java
@@ -13,9 +13,11 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What a machine's owner knows of it and tells the other controllers: the newest report, the images
@@ -110,12 +112,23 @@
     return exited;
   }
 
-  /** Whether it proves just what the other one does; most reports say that work goes on. */
-  public boolean provesTheSame(View other) {
-    return token == other.token
-        && report.session() == other.report.session()
-        && voids.equals(other.voids)
-        && exited().equals(other.exited());
+  /**
+   * The jobs of which it tells something that the other one, of the same session and token, did not.
+   * Most reports only say that work goes on.
+   */
+  public Set<String> provesMoreThan(View other) {
+    Set<String> jobs = new HashSet<>();
+    exited()
+        .forEach(
+            (job, tasks) -> {
+              if (!tasks.equals(other.exitedOf(job))) {
+                jobs.add(job);
+              }
+            });
+    if (!voids.equals(other.voids)) {
+      voids.forEach(v -> jobs.add(v.job));
+    }
+    return jobs;
   }
 
   /** Tasks that are in the same state; they travel as one, their numbers as ranges. */
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -1,5 +1,6 @@
 package io.tansystack.workers;
 
+import com.google.common.collect.Sets;
 import io.tansystack.cluster.OwnLease;
 import io.tansystack.cluster.World;
 import io.tansystack.cluster.World.Job;
@@ -33,7 +34,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
@@ -55,6 +55,11 @@
   private static final Duration CLAIM_WAIT = Duration.ofMillis(3500);
   private static final Duration HALT_AGAIN = Duration.ofSeconds(5);
   private static final Duration COMES_BACK = Duration.ofSeconds(20);
+  private static final Duration FORGET_WAIT = Duration.ofSeconds(2);
+  private static final int MANY_FORGETS = 40;
+  private static final Duration SILENT = Duration.ofSeconds(7);
+  private static final Duration TELL_HINTS = Duration.ofSeconds(3);
+  private static final Duration TELL_SAME = Duration.ofSeconds(10);
   private static final double CLAIM_SHARE = 0.25;
   private static final int MAX_COMMANDS = 300;
   private static final int MAX_SENT_AWAY = 10_000;
@@ -65,7 +70,7 @@
     Report latest;
 
     /** The newest report's lines by attempt, made once for each report. */
-    Map<String, TaskReport> listed = Map.of();
+    Map<Attempt, TaskReport> listed = Map.of();
 
     InetSocketAddress address;
 
@@ -75,12 +80,18 @@
     /** Until then a former owner may have answered, as long as the worker hasn't shown our token. */
     Duration formerOwnerUntil = Duration.ZERO;
 
+    /** Nothing is wanted of it as things stand, until it reports or something is recorded on it. */
+    boolean settled;
+
+    /** Forgetting alone is not worth a request of its own before this. */
+    Duration forgetAt = Duration.ZERO;
+
     boolean ordersInFlight;
     long doubtfulToken = -1;
     boolean claiming;
     int failures;
     Duration quietUntil = Duration.ZERO;
-    final Map<String, Duration> halted = new HashMap<>();
+    final Map<Attempt, Duration> halted = new HashMap<>();
     View published;
     Duration publishedAt = Duration.ZERO;
 
@@ -93,6 +104,8 @@
 
   private record Claiming(Report report, Reply reply, Duration until) {}
 
+  private record Attempt(TaskId task, long attempt) {}
+
   private record SentAway(int times, Duration at) {}
 
   private final Loop loop;
@@ -212,6 +225,7 @@
     }
     machine.latest = report;
     machine.listed = listed(report);
+    machine.settled = false;
     try {
       machine.address = Addresses.parse(report.address());
     } catch (BadInput e) {
@@ -347,7 +361,7 @@
    * true, and commands may follow. Looking at all machines for each change is what a large cluster
    * can't afford; what is due by time alone is found by the tick.
    */
-  public void worldChanged(Set<String> touched) {
+  public void worldChanged(World.Touched touched) {
     for (String name : List.copyOf(claims.keySet())) {
       MachineRecord record = world.machine(name);
       if (mine(record)) {
@@ -355,11 +369,12 @@
         waiting.forEach(c -> accept(record, c.report, c.reply));
       }
     }
-    for (String name : touched) {
+    for (String name : Sets.union(touched.machines(), touched.placedOn())) {
       MachineRecord record = world.machine(name);
       // Ours by a claim whose answer was lost, or adopted: its silence has to be timed too.
       Machine machine = mine(record) ? machine(record, loop.now()) : machines.get(name);
       if (machine != null) {
+        machine.settled = false;
         tend(machine);
       }
     }
@@ -458,6 +473,10 @@
       tell(machine, record, List.of(), now);
       return;
     }
+    if (machine.settled && machine.published != null && machine.published.token() == token) {
+      tell(machine, record, machine.published.voids(), now);
+      return;
+    }
     boolean shown = latest.token() == token;
     boolean quiet = !machine.ordersInFlight;
     tell(machine, record, shown && quiet ? voids(machine, latest) : List.of(), now);
@@ -465,7 +484,12 @@
       return;
     }
     List<Command> commands = wanted(machine, latest, now);
+    machine.settled = commands.isEmpty() && machine.halted.isEmpty();
+    if (forgetsOnly(commands) && now.compareTo(machine.forgetAt) < 0) {
+      return; // Where tasks end, others start soon: these go with the launches.
+    }
     if (!commands.isEmpty()) {
+      machine.forgetAt = now.plus(FORGET_WAIT);
       send(machine, token, latest.session(), commands);
     }
   }
@@ -499,7 +523,7 @@
       p.tasks()
           .forEach(
               task -> {
-                if (!machine.listed.containsKey(key(job, task, p.attempt()))) {
+                if (!machine.listed.containsKey(new Attempt(new TaskId(job, task), p.attempt()))) {
                   voids.add(new View.Void(job, task, p.attempt()));
                 }
               });
@@ -507,14 +531,10 @@
     return voids;
   }
 
-  private static String key(String job, int task, long attempt) {
-    return job + "/" + task + "#" + attempt;
-  }
-
-  private static Map<String, TaskReport> listed(Report report) {
-    Map<String, TaskReport> listed = new HashMap<>();
+  private static Map<Attempt, TaskReport> listed(Report report) {
+    Map<Attempt, TaskReport> listed = new LinkedHashMap<>();
     for (TaskReport task : report.tasks()) {
-      listed.put(key(task.task().job(), task.task().index(), task.attempt()), task);
+      listed.put(new Attempt(task.task(), task.attempt()), task);
     }
     return listed;
   }
@@ -522,15 +542,19 @@
   private List<Command> wanted(Machine machine, Report latest, Duration now) {
     List<Command> commands = new ArrayList<>();
     List<Command> halts = new ArrayList<>();
-    Map<String, TaskReport> listed = machine.listed;
+    Map<Attempt, TaskReport> listed = machine.listed;
+    Map<Attempt, Placed> recorded = new LinkedHashMap<>();
+    for (Placed placed : world.placedOn(machine.name)) {
+      Placement p = placed.placement();
+      String job = placed.job().id();
+      p.tasks().forEach(t -> recorded.put(new Attempt(new TaskId(job, t), p.attempt()), placed));
+    }
     machine.halted.keySet().retainAll(listed.keySet());
-    for (Map.Entry<String, TaskReport> entry : listed.entrySet()) {
+    for (Map.Entry<Attempt, TaskReport> entry : listed.entrySet()) {
       TaskReport task = entry.getValue();
-      Job job = world.job(task.task().job());
-      Placement p =
-          job == null
-              ? null
-              : job.record().find(machine.name, task.attempt(), task.task().index());
+      Placed placed = recorded.get(entry.getKey());
+      Placement p = placed == null ? null : placed.placement();
+      Job job = placed == null ? null : placed.job();
       if (task.exited()) {
         if (p == null) {
           // Its outcome is in the record, or nobody wants it: the report's line is no longer needed.
@@ -555,39 +579,36 @@
       halts.add(new Command(Command.Op.STOP, task.task(), task.attempt(), grace));
     }
     commands.addAll(halts);
-    for (Placed placed : world.placedOn(machine.name)) {
+    for (Map.Entry<Attempt, Placed> entry : recorded.entrySet()) {
+      Placed placed = entry.getValue();
       Placement p = placed.placement();
-      if (p.stop()
-          || !placed.job().record().active()
-          || p.session() != latest.session()) {
-        continue;
+      if (!listed.containsKey(entry.getKey())
+          && !p.stop()
+          && placed.job().record().active()
+          && p.session() == latest.session()) {
+        commands.add(new Command(Command.Op.START, entry.getKey().task(), p.attempt(), 0));
       }
-      String job = placed.job().id();
-      p.tasks()
-          .forEach(
-              task -> {
-                if (!listed.containsKey(key(job, task, p.attempt()))) {
-                  commands.add(
-                      new Command(Command.Op.START, new TaskId(job, task), p.attempt(), 0));
-                }
-              });
     }
     return commands.size() > MAX_COMMANDS ? commands.subList(0, MAX_COMMANDS) : commands;
   }
 
+  private static boolean forgetsOnly(List<Command> commands) {
+    return !commands.isEmpty()
+        && commands.size() < MANY_FORGETS
+        && commands.stream().allMatch(c -> c.op() == Command.Op.FORGET);
+  }
+
   private void send(Machine machine, long token, long session, List<Command> commands) {
     machine.ordersInFlight = true;
-    if (log.isInfoEnabled()) {
+    if (log.isDebugEnabled()) {
       for (Command c : commands) {
-        if (c.op() != Command.Op.FORGET || log.isDebugEnabled()) {
-          log.info(
-              "{} task={} attempt={} machine={} token={}",
-              c.op(),
-              c.task(),
-              c.attempt(),
-              machine.name,
-              token);
-        }
+        log.debug(
+            "{} task={} attempt={} machine={} token={}",
+            c.op(),
+            c.task(),
+            c.attempt(),
+            machine.name,
+            token);
       }
     }
     caller.call(
@@ -645,17 +666,6 @@
   private void tell(
       Machine machine, MachineRecord record, List<View.Void> voids, Duration now) {
     View old = machine.published;
-    boolean news =
-        old == null
-            || old.token() != world.token(record)
-            || old.report().session() != machine.latest.session()
-            || old.report().token() != machine.latest.token()
-            || !old.report().tasks().equals(machine.latest.tasks())
-            || (old.report().noticeS() == null) != (machine.latest.noticeS() == null)
-            || !old.voids().equals(voids);
-    if (!news && now.minus(machine.publishedAt).compareTo(Duration.ofSeconds(3)) < 0) {
-      return;
-    }
     View view =
         new View(
             machine.latest,
@@ -665,11 +675,45 @@
             machine.history.fetchGbPerS(),
             machine.history.slowness(),
             Math.max(0, now.minus(machine.answeredAt).toMillis()));
+    Duration since = now.minus(machine.publishedAt);
+    if (old != null && since.compareTo(due(old, view)) < 0) {
+      return;
+    }
     machine.published = view;
     machine.publishedAt = now;
     publish.accept(view);
   }
 
+  /**
+   * How long after the last telling the next one is due. What placements end by, and what closes or
+   * opens a machine, is told at once; how far its fetches are is a hint and can wait. A silent machine
+   * is told of again and again, so that all see how long it has been silent.
+   */
+  private static Duration due(View old, View view) {
+    Report before = old.report();
+    Report latest = view.report();
+    if (old.token() != view.token()
+        || before.session() != latest.session()
+        || before.token() != latest.token()
+        || (before.noticeS() == null) != (latest.noticeS() == null)
+        || !view.provesMoreThan(old).isEmpty()) {
+      return Duration.ZERO;
+    }
+    boolean same = before.tasks().size() == latest.tasks().size() && before.tasks().equals(latest.tasks());
+    return same && view.silentMs() < SILENT.toMillis() ? TELL_SAME : TELL_HINTS;
+  }
+
+  /** What the others were last told of each machine: one that starts anew needs all of it. */
+  public List<View> told() {
+    List<View> views = new ArrayList<>();
+    for (Machine machine : machines.values()) {
+      if (machine.published != null) {
+        views.add(machine.published);
+      }
+    }
+    return views;
+  }
+
   public Collection<String> owned() {
     return List.copyOf(machines.keySet());
   }
