--- a/src/main/java/io/tansystack/cluster/PeerLink.java
+++ b/src/main/java/io/tansystack/cluster/PeerLink.java
@@ -147,7 +147,7 @@
     if (link.inFlight) {
       return;
     }
-    ObjectNode message = 
+    ObjectNode message =
         Cbor.map().put("from", label).put("boot", boot).put("valid", valid.getAsBoolean());
     ObjectNode fleet = fleetNews.get();
     if (fleet != null) {
--- a/src/main/java/io/tansystack/cluster/World.java
+++ b/src/main/java/io/tansystack/cluster/World.java
@@ -174,7 +174,7 @@
   }
 
   private void tell() {
-    Touched touched = 
+    Touched touched =
         new Touched(touchedJobs, touchedMachines, touchedPlacedOn, touchedControllers);
     touchedJobs = new HashSet<>();
     touchedMachines = new HashSet<>();
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -58,7 +58,8 @@
   private static final Duration FORGET_WAIT = Duration.ofSeconds(2);
   private static final int MANY_FORGETS = 40;
   private static final Duration SILENT = Duration.ofSeconds(7);
-  private static final Duration TELL_HINTS = Duration.ofSeconds(3);
+  private static final Duration TELL_SILENT = Duration.ofSeconds(3);
+  private static final Duration TELL_HINTS = Duration.ofSeconds(6);
   private static final Duration TELL_SAME = Duration.ofSeconds(10);
   private static final double CLAIM_SHARE = 0.25;
   private static final int MAX_COMMANDS = 300;
@@ -666,6 +667,14 @@
   private void tell(
       Machine machine, MachineRecord record, List<View.Void> voids, Duration now) {
     View old = machine.published;
+    Duration since = now.minus(machine.publishedAt);
+    if (old != null
+        && old.report() == machine.latest
+        && old.token() == world.token(record)
+        && old.voids().equals(voids)
+        && since.compareTo(silent(machine, now) ? TELL_SILENT : TELL_SAME) < 0) {
+      return;
+    }
     View view =
         new View(
             machine.latest,
@@ -675,8 +684,9 @@
             machine.history.fetchGbPerS(),
             machine.history.slowness(),
             Math.max(0, now.minus(machine.answeredAt).toMillis()));
-    Duration since = now.minus(machine.publishedAt);
-    if (old != null && since.compareTo(due(old, view)) < 0) {
+    if (old != null
+        && since.compareTo(due(old, view)) < 0
+        && !(silent(machine, now) && since.compareTo(TELL_SILENT) >= 0)) {
       return;
     }
     machine.published = view;
@@ -686,8 +696,7 @@
 
   /**
    * How long after the last telling the next one is due. What placements end by, and what closes or
-   * opens a machine, is told at once; how far its fetches are is a hint and can wait. A silent machine
-   * is told of again and again, so that all see how long it has been silent.
+   * opens a machine, is told at once; how far its fetches are is a hint and can wait.
    */
   private static Duration due(View old, View view) {
     Report before = old.report();
@@ -699,8 +708,11 @@
         || !view.provesMoreThan(old).isEmpty()) {
       return Duration.ZERO;
     }
-    boolean same = before.tasks().size() == latest.tasks().size() && before.tasks().equals(latest.tasks());
-    return same && view.silentMs() < SILENT.toMillis() ? TELL_SAME : TELL_HINTS;
+    return before.tasks().equals(latest.tasks()) ? TELL_SAME : TELL_HINTS;
+  }
+
+  private static boolean silent(Machine machine, Duration now) {
+    return now.minus(machine.answeredAt).compareTo(SILENT) > 0;
   }
 
   /** What the others were last told of each machine: one that starts anew needs all of it. */
