--- a/src/main/java/io/tansystack/jobs/JobRecord.java
+++ b/src/main/java/io/tansystack/jobs/JobRecord.java
@@ -229,7 +229,7 @@
     }
     List<Placement> placements = new ArrayList<>();
     for (JsonNode node : Read.list(map, "placed")) {
-      placements.add(Placement.read(Read.map(node, "placed")));
+      placements.add(Placement.read(node));
     }
     return new JobRecord(
         known != null ? known : JobSpec.read(Read.map(map, "spec")),
--- a/src/main/java/io/tansystack/jobs/Placement.java
+++ b/src/main/java/io/tansystack/jobs/Placement.java
@@ -1,8 +1,8 @@
 package io.tansystack.jobs;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.wire.BadInput;
-import io.tansystack.wire.Cbor;
 import io.tansystack.wire.Read;
 
 /**
@@ -11,14 +11,26 @@
  * longer wanted: whoever owns the machine stops them and never launches them.
  */
 public record Placement(String machine, long session, long attempt, TaskSet tasks, boolean stop) {
+  private static final String STOP = " stop";
 
-  static Placement read(ObjectNode map) throws BadInput {
-    return new Placement(
-        Read.text(map, "m"),
-        Read.integer(map, "s"),
-        Read.integer(map, "a"),
-        tasks(map, "t"),
-        Read.flagOr(map, "x", false));
+
+  /** Reads the written form: machine, session, attempt, tasks, and a last word where it is to stop. */
+  static Placement read(JsonNode node) throws BadInput {
+    String text = node.asText();
+    try {
+      int session = text.indexOf(' ');
+      int attempt = text.indexOf(' ', session + 1);
+      int tasks = text.indexOf(' ', attempt + 1);
+      boolean stop = text.endsWith(STOP);
+      return new Placement(
+          text.substring(0, session),
+          Long.parseLong(text, session + 1, attempt, 10),
+          Long.parseLong(text, attempt + 1, tasks, 10),
+          TaskSet.parse(text.substring(tasks + 1, text.length() - (stop ? STOP.length() : 0))),
+          stop);
+    } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+      throw new BadInput("placed: not a placement");
+    }
   }
 
   static TaskSet tasks(ObjectNode map, String field) throws BadInput {
@@ -29,13 +41,12 @@
     }
   }
 
-  ObjectNode write() {
-    ObjectNode map = Cbor.map();
-    map.put("m", machine).put("s", session).put("a", attempt).put("t", tasks.toString());
-    if (stop) {
-      map.put("x", true);
-    }
-    return map;
+  /**
+   * One text for each placement: a record holds up to hundreds, and every controller reads every
+   * record at each change. Machine names have no spaces; reports with such a name are refused.
+   */
+  String write() {
+    return machine + ' ' + session + ' ' + attempt + ' ' + tasks + (stop ? STOP : "");
   }
 
   public Placement withTasks(TaskSet left) {
--- a/src/main/java/io/tansystack/jobs/TaskSet.java
+++ b/src/main/java/io/tansystack/jobs/TaskSet.java
@@ -25,21 +25,27 @@
     return of(bits);
   }
 
-  /** Reads the written form; throws IllegalArgumentException if it is not one. */
+  /**
+   * Reads the written form; throws IllegalArgumentException if it is not one. Read in one go: every
+   * record and view that arrives holds dozens of these.
+   */
   public static TaskSet parse(String text) {
     BitSet bits = new BitSet();
-    if (!text.isEmpty()) {
-      for (String range : text.split(",")) {
-        int dash = range.indexOf('-');
-        int from = Integer.parseInt(dash < 0 ? range : range.substring(0, dash));
-        int to = dash < 0 ? from : Integer.parseInt(range.substring(dash + 1));
-        if (from < 0 || to < from || to > 1_000_000) {
-          throw new IllegalArgumentException("bad range " + range);
-        }
-        bits.set(from, to + 1);
+    int at = 0;
+    while (at < text.length()) {
+      int comma = text.indexOf(',', at);
+      int end = comma < 0 ? text.length() : comma;
+      int dash = text.indexOf('-', at);
+      boolean range = dash >= 0 && dash < end;
+      int from = Integer.parseInt(text, at, range ? dash : end, 10);
+      int to = range ? Integer.parseInt(text, dash + 1, end, 10) : from;
+      if (from < 0 || to < from || to > 1_000_000 || end == text.length() - 1) {
+        throw new IllegalArgumentException("bad range in " + text);
       }
+      bits.set(from, to + 1);
+      at = end + 1;
     }
-    return of(bits);
+    return bits.isEmpty() ? EMPTY : new TaskSet(bits);
   }
 
   public boolean contains(int task) {
--- a/src/main/java/io/tansystack/workers/View.java
+++ b/src/main/java/io/tansystack/workers/View.java
@@ -27,6 +27,9 @@
   /** A recorded, unwanted task attempt that is not on the machine and will not be launched there. */
   public record Void(String job, int task, long attempt) {}
 
+  private static final TaskReport.State[] STATES = TaskReport.State.values();
+  private static final TaskReport.Cause[] CAUSES = TaskReport.Cause.values();
+
   private final Report report;
   private final long token;
   private final List<Void> voids;
@@ -133,7 +136,28 @@
 
   /** Tasks that are in the same state; they travel as one, their numbers as ranges. */
   private record Group(
-      String job, long attempt, TaskReport.State state, TaskReport.Cause cause, boolean saved) {}
+      String job, long attempt, TaskReport.State state, TaskReport.Cause cause, boolean saved) {
+
+    String write(TaskSet numbers) {
+      int why = cause == null ? -1 : cause.ordinal();
+      return state.ordinal() + " " + why + " " + (saved ? 1 : 0) + " " + job + " " + attempt + " "
+          + numbers;
+    }
+
+    static void read(String text, List<TaskReport> into) {
+      String[] parts = text.split(" ", 6);
+      int why = Integer.parseInt(parts[1]);
+      TaskReport.Cause cause = why < 0 ? null : CAUSES[why];
+      TaskReport.State state = STATES[Integer.parseInt(parts[0])];
+      boolean saved = parts[2].equals("1");
+      long attempt = Long.parseLong(parts[4]);
+      TaskSet.parse(parts[5])
+          .forEach(
+              task ->
+                  into.add(
+                      new TaskReport(new TaskId(parts[3], task), attempt, state, cause, saved)));
+    }
+  }
 
   /** The form in which it travels between controllers, hundreds of times a second. */
   public ObjectNode write() {
@@ -150,16 +174,7 @@
           .set(task.task().index());
     }
     ArrayNode tasks = map.putArray("tasks");
-    groups.forEach(
-        (g, numbers) ->
-            tasks
-                .addArray()
-                .add(g.job)
-                .add(g.attempt)
-                .add(g.state.ordinal())
-                .add(g.cause == null ? -1 : g.cause.ordinal())
-                .add(g.saved)
-                .add(TaskSet.of(numbers).toString()));
+    groups.forEach((group, numbers) -> tasks.add(group.write(TaskSet.of(numbers))));
     ArrayNode list = map.putArray("voids");
     for (Void v : voids) {
       list.addObject().put("j", v.job).put("t", v.task).put("a", v.attempt);
@@ -192,15 +207,8 @@
   private static List<TaskReport> readTasks(ArrayNode groups) throws BadInput {
     List<TaskReport> tasks = new ArrayList<>();
     try {
-      for (JsonNode g : groups) {
-        String job = g.get(0).textValue();
-        long attempt = g.get(1).longValue();
-        TaskReport.State state = TaskReport.State.values()[g.get(2).intValue()];
-        int cause = g.get(3).intValue();
-        TaskReport.Cause why = cause < 0 ? null : TaskReport.Cause.values()[cause];
-        boolean saved = g.get(4).booleanValue();
-        TaskSet.parse(g.get(5).textValue())
-            .forEach(t -> tasks.add(new TaskReport(new TaskId(job, t), attempt, state, why, saved)));
+      for (JsonNode group : groups) {
+        Group.read(group.textValue(), tasks);
       }
     } catch (RuntimeException e) {
       throw new BadInput("tasks: not as sent by a peer of this version");
--- a/src/test/java/io/tansystack/jobs/JobRecordTest.java
+++ b/src/test/java/io/tansystack/jobs/JobRecordTest.java
@@ -3,12 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.TextNode;
 import io.tansystack.jobs.JobRecord.Assignment;
 import io.tansystack.jobs.JobRecord.Over;
 import io.tansystack.jobs.JobRecord.Phase;
 import io.tansystack.wire.Answers.JobState;
+import io.tansystack.wire.BadInput;
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.Priority;
@@ -19,6 +22,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class JobRecordTest {
   static JobSpec spec(Shape shape, int tasks) {
@@ -41,6 +45,24 @@
     assertEquals(firstMissing, set.firstMissing());
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"1,", "x", "3-1", "-1", "1-", "1,,2", "1 2", "0-9999999"})
+  void whatIsNoTaskSetIsRefused(String text) {
+    assertThrows(IllegalArgumentException.class, () -> TaskSet.parse(text));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"n-1 2 3 0-4,stop", "n-1 2 3,none", "n-1 2,none", "n-1 2 x 0-4,none", "'',none"})
+  void whatIsNoPlacementIsRefused(String text, String kind) throws Exception {
+    if (kind.equals("none")) {
+      assertThrows(BadInput.class, () -> Placement.read(TextNode.valueOf(text)));
+      return;
+    }
+    Placement placement = Placement.read(TextNode.valueOf(text + " " + kind));
+    assertEquals(new Placement("n-1", 2, 3, TaskSet.range(0, 5), true), placement);
+    assertEquals(text + " stop", placement.write());
+  }
+
   /** A proof counts only for the very attempt on the very machine; anything near it changes nothing. */
   @ParameterizedTest
   @CsvSource({
