One outcome for CBOR answers serves the cloud's and the state service's clients

Both decoded an answer in the same lines; http.CborOutcome does it for both. Out as well: three unused methods of TaskSet, a parameter that RentPlanner.decide documented and does not have, and a clean-up in JobDuty that absorbForeign does anyway.

--- a/src/main/java/io/tansystack/fleet/Cloud.java
+++ b/src/main/java/io/tansystack/fleet/Cloud.java
@@ -1,10 +1,8 @@
 package io.tansystack.fleet;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.http.CborOutcome;
 import io.tansystack.http.HttpCaller;
 import io.tansystack.http.Loop;
-import io.tansystack.wire.BadInput;
-import io.tansystack.wire.Cbor;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 
@@ -12,11 +10,6 @@
 final class Cloud {
   private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
-  /** Status 0 stands for no answer; the body is null where it could not be read. */
-  interface Answer {
-    void take(int status, ObjectNode body);
-  }
-
   private final HttpCaller caller;
   private final Loop loop;
   private final InetSocketAddress address;
@@ -35,33 +28,8 @@
     return loop.now().compareTo(nextAt) >= 0;
   }
 
-  void call(String method, String path, byte[] body, Answer then) {
+  void call(String method, String path, byte[] body, CborOutcome.Answer then) {
     nextAt = loop.now().plus(gap);
-    caller.call(
-        address,
-        method,
-        path,
-        body,
-        TIMEOUT,
-        new HttpCaller.Outcome() {
-          @Override
-          public void answer(int status, byte[] answer) {
-            ObjectNode map = null;
-            try {
-              map = Cbor.decodeMap(answer);
-            } catch (BadInput e) {
-              if (status == 200) {
-                then.take(0, null);
-                return;
-              }
-            }
-            then.take(status, map);
-          }
-
-          @Override
-          public void silence(boolean refused) {
-            then.take(0, null);
-          }
-        });
+    caller.call(address, method, path, body, TIMEOUT, new CborOutcome("cloud", 0, then));
   }
 }
--- a/src/main/java/io/tansystack/jobs/JobDuty.java
+++ b/src/main/java/io/tansystack/jobs/JobDuty.java
@@ -203,7 +203,8 @@
     dirtyJobs.forEach(this::refresh);
     dirtyJobs.clear();
     snapshot = snapshot();
-    plan = Planner.plan(
+    plan =
+        Planner.plan(
             snapshot, limit.window(), limit.placedAtOnce(), settings.store().txnOps() * 2);
     write(candidates());
     absorbForeign();
@@ -279,7 +280,6 @@
       proofs.remove(id);
       troubles.remove(id);
       lastWrite.remove(id);
-      unabsorbed.remove(id);
       return;
     }
     JobRecord record = current(job);
--- a/src/main/java/io/tansystack/jobs/TaskSet.java
+++ b/src/main/java/io/tansystack/jobs/TaskSet.java
@@ -75,33 +75,16 @@
     return bits.nextSetBit(from);
   }
 
-  public TaskSet with(TaskSet other) {
-    BitSet result = toBits();
-    result.or(other.bits);
-    return of(result);
-  }
-
   public TaskSet with(int task) {
     BitSet result = toBits();
     result.set(task);
     return of(result);
   }
 
-  public TaskSet without(int task) {
-    BitSet result = toBits();
-    result.clear(task);
-    return of(result);
-  }
-
   public BitSet toBits() {
     return (BitSet) bits.clone();
   }
 
-  /** Sets the members in the given bits. */
-  public void addTo(BitSet target) {
-    target.or(bits);
-  }
-
   @Override
   public boolean equals(Object other) {
     return other instanceof TaskSet set && bits.equals(set.bits);
--- a/src/main/java/io/tansystack/schedule/RentPlanner.java
+++ b/src/main/java/io/tansystack/schedule/RentPlanner.java
@@ -49,8 +49,6 @@
   /**
    * @param booting machines rented and not yet of use
    * @param blocked kinds that were lately refused
-   * @param speeds learned bandwidth is of no use for machines that don't exist yet, so types count
-   *     with their nominal one
    */
   public static Map<Kind, Integer> decide(
       List<Unmet> unmet,
--- a/src/main/java/io/tansystack/store/StoreClient.java
+++ b/src/main/java/io/tansystack/store/StoreClient.java
@@ -1,6 +1,6 @@
 package io.tansystack.store;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.http.CborOutcome;
 import io.tansystack.http.HttpCaller;
 import io.tansystack.http.Loop;
 import io.tansystack.wire.BadInput;
@@ -227,41 +227,22 @@
         (status, map) -> then.accept(status));
   }
 
-  /** An answer's status and, if it could be read, its body. Status 0 stands for no answer. */
-  interface Answer {
-    void take(int status, ObjectNode body);
-  }
-
-  void request(String method, String path, byte[] body, Duration timeout, Answer then) {
+  void request(
+      String method, String path, byte[] body, Duration timeout, CborOutcome.Answer then) {
     caller.call(
         address,
         method,
         path,
         body,
         timeout,
-        new HttpCaller.Outcome() {
-          @Override
-          public void answer(int status, byte[] answer) {
-            ObjectNode map = null;
-            try {
-              map = Cbor.decodeMap(answer);
-            } catch (BadInput e) {
-              if (status == 200) {
-                log.warn("state service: unreadable answer: {}", e.getMessage());
-                then.take(0, null);
-                return;
+        new CborOutcome(
+            "state service",
+            503,
+            (status, map) -> {
+              if (status == 200 || status == 404 || status == 409) {
+                lastSuccess = loop.now();
               }
-            }
-            if (status == 200 || status == 404 || status == 409) {
-              lastSuccess = loop.now();
-            }
-            then.take(status, map);
-          }
-
-          @Override
-          public void silence(boolean refused) {
-            then.take(refused ? 503 : 0, null);
-          }
-        });
+              then.take(status, map);
+            }));
   }
 }
