--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -62,6 +62,7 @@
   private final Latencies latencies;
   private final Map<String, View> views = new HashMap<>();
   private Duration heardUntil;
+  private long ticks;
   private final byte[] empty = Cbor.encode(Cbor.map());
 
   public Controller(
@@ -118,6 +119,7 @@
             boot,
             settings.peers(),
             this::useful,
+            this::deaf,
             this::viewFromPeer,
             this::told,
             this::fleetNews,
@@ -137,7 +139,7 @@
             settings.zone(),
             settings.workers().lease(),
             writes,
-            peers::looksSilent,
+            peers::unfitForWorkers,
             types::get,
             views::get,
             this::viewOfOwn);
@@ -181,7 +183,10 @@
       desk.listenAnew();
     }
     heardUntil = loop.now();
-    desk.tick();
+    ticks++;
+    if (ticks % 2 == 0) {
+      desk.tick();
+    }
     if (world.loaded()) {
       if (world.revision() >= lease.registeredAt() && !world.alive(settings.label(), boot)) {
         lease.recordLost();
@@ -223,6 +228,10 @@
     return fleet.news();
   }
 
+  private boolean deaf() {
+    return desk.deaf();
+  }
+
   private Set<String> informed() {
     return slots.informed();
   }
--- a/src/main/java/io/tansystack/cluster/PeerLink.java
+++ b/src/main/java/io/tansystack/cluster/PeerLink.java
@@ -53,6 +53,7 @@
   private final Loop loop;
   private final String label;
   private final BooleanSupplier valid;
+  private final BooleanSupplier deaf;
   private final Consumer<View> received;
   private final Supplier<List<View>> told;
   private final String boot;
@@ -60,6 +61,7 @@
   private final Supplier<ObjectNode> fleetNews;
   private final Consumer<ObjectNode> fleetNewsReceived;
   private final Supplier<Set<String>> informed;
+  private ObjectNode news;
   private final Map<String, Link> links = new LinkedHashMap<>();
 
   /** A view on its way; it is encoded once for all peers, and not at all if a newer one replaces it. */
@@ -95,6 +97,9 @@
 
     boolean toldValid;
 
+    /** It says that it does not hear its workers. */
+    boolean deaf;
+
     /** Calls in a row that found no answer; it is tried seldom then, and says itself when it is back. */
     int silences;
 
@@ -112,6 +117,7 @@
       String boot,
       List<Peer> peers,
       BooleanSupplier valid,
+      BooleanSupplier deaf,
       Consumer<View> received,
       Supplier<List<View>> told,
       Supplier<ObjectNode> fleetNews,
@@ -124,6 +130,7 @@
     this.told = told;
     this.delay = DELAY.multipliedBy((long) Math.max(1, peers.size() * peers.size()));
     this.valid = valid;
+    this.deaf = deaf;
     this.received = received;
     this.fleetNews = fleetNews;
     this.fleetNewsReceived = fleetNewsReceived;
@@ -136,6 +143,7 @@
         BEAT,
         () -> {
           Set<String> names = informed.get();
+          news = fleetNews.get();
           for (Link link : links.values()) {
             inform(link, names.contains(link.peer.label()));
             send(link);
@@ -182,11 +190,12 @@
 
   private void send(Link link) {
     Duration now = loop.now();
+    if (link.inFlight || now.compareTo(link.sentAt.plus(pause(link))) < 0) {
+      return;
+    }
     boolean mayAct = valid.getAsBoolean();
-    ObjectNode fleet = link.informed ? fleetNews.get() : null;
-    if (link.inFlight
-        || now.compareTo(link.sentAt.plus(pause(link))) < 0
-        || (link.pending.isEmpty() && mayAct == link.toldValid && !beatDue(link, fleet, now))) {
+    ObjectNode fleet = link.informed ? news : null;
+    if (link.pending.isEmpty() && mayAct == link.toldValid && !beatDue(link, fleet, now)) {
       return;
     }
     ObjectNode message = about(mayAct).put("from", label);
@@ -265,12 +274,13 @@
   }
 
   private ObjectNode about(boolean mayAct) {
-    return Cbor.map().put("boot", boot).put("valid", mayAct);
+    return Cbor.map().put("boot", boot).put("valid", mayAct).put("deaf", deaf.getAsBoolean());
   }
 
   /** Takes in what every message and every answer says of its sender. */
   private void heard(Link link, ObjectNode about) throws BadInput {
     link.said = Read.flag(about, "valid");
+    link.deaf = Read.flagOr(about, "deaf", false);
     String itsBoot = Read.text(about, "boot");
     link.heardAt = loop.now();
     link.refusedSince = null;
@@ -333,14 +343,15 @@
   }
 
   /**
-   * Whether the peer neither answers nor refuses: it may be standing still, or be cut off from here.
-   * Workers need not be sent to it, while its slots are left to it until its record ends: were zones
+   * Whether the peer neither answers nor refuses, or says that it does not hear its workers: it may be
+   * standing still, or be cut off. Workers need not be sent to it, while its slots are left to it until its record ends: were zones
    * cut off from each other, each would take the other's.
    */
-  public boolean looksSilent(String peer) {
+  public boolean unfitForWorkers(String peer) {
     Link link = links.get(peer);
     return link != null
         && (looksDown(peer)
+            || link.deaf
             || (link.silences > 0
                 && loop.now().minus(link.silentSince).compareTo(SILENT_FOR) > 0));
   }
--- a/src/main/java/io/tansystack/cluster/SlotDuty.java
+++ b/src/main/java/io/tansystack/cluster/SlotDuty.java
@@ -159,7 +159,8 @@
         held.remove(slot);
         given.remove(slot);
       }
-      if (taken && holder != null && world.alive(holder.label(), holder.boot())) {
+      // After its own record had ended it was right to take it; then the claim came before the new one.
+      if (taken && holder != null && holder.version() > lease.registeredAt()) {
         if (loop.now().compareTo(contestedUntil) >= 0) {
           log.warn("slot {} was taken by {}: refused connections prove nothing for a while", slot, holder.label());
         }
--- a/src/main/java/io/tansystack/fleet/BootEstimate.java
+++ b/src/main/java/io/tansystack/fleet/BootEstimate.java
@@ -24,6 +24,7 @@
   private static final int ENOUGH = 4;
 
   private final Map<String, Deque<Double>> seen = new HashMap<>();
+  private final Map<String, Double> usual = new HashMap<>();
   private final Map<String, Integer> waiting = new HashMap<>();
   private final Map<String, Integer> overdue = new HashMap<>();
 
@@ -34,22 +35,24 @@
     if (times.size() > REMEMBERED) {
       times.removeFirst();
     }
+    double[] sorted = times.stream().mapToDouble(Double::doubleValue).sorted().toArray();
+    usual.put(type, sorted[(sorted.length - 1) * 3 / 4]);
   }
 
   /** Three in four of those seen lately came up within this; never less than what is stated. */
   double expected(String type, double statedS) {
-    Deque<Double> times = seen.get(type);
-    if (times == null) {
-      return statedS;
-    }
-    double[] sorted = times.stream().mapToDouble(Double::doubleValue).sorted().toArray();
-    return Math.max(statedS, sorted[(sorted.length - 1) * 3 / 4]);
+    return Math.max(statedS, usual.getOrDefault(type, 0.0));
   }
 
   boolean overdue(String type, double statedS, double ageS) {
     return ageS > expected(type, statedS) * OVERDUE;
   }
 
+  /** Whether a machine is waited for in vain at this time. */
+  boolean anyOverdue() {
+    return !overdue.isEmpty();
+  }
+
   /** Starts a count of those that are waited for. */
   void recount() {
     waiting.clear();
--- a/src/main/java/io/tansystack/fleet/FleetDuty.java
+++ b/src/main/java/io/tansystack/fleet/FleetDuty.java
@@ -56,6 +56,7 @@
 public final class FleetDuty {
   private static final Logger log = LoggerFactory.getLogger(FleetDuty.class);
   private static final Duration TURN = Duration.ofMillis(250);
+  private static final Duration JUDGE_EVERY = Duration.ofSeconds(1);
   private static final Duration LIST_EVERY = Duration.ofSeconds(2);
   private static final Duration UNCLAIMED = Duration.ofSeconds(40);
   private static final Duration ORPHANED = Duration.ofSeconds(9);
@@ -64,9 +65,6 @@
   private static final Duration NEWS_LIFE = Duration.ofSeconds(3);
   private static final int MAX_ADOPT = 4;
 
-  /** More machines than this part falling silent at once speaks of us or the network, not of them. */
-  private static final double MASS = 0.34;
-
   private static final class Known {
     final Kind kind;
     final Duration since;
@@ -104,6 +102,7 @@
   private final Map<String, String> toDelete = new LinkedHashMap<>();
   private final Set<String> deleted = new LinkedHashSet<>();
   private final Set<String> draining = new HashSet<>();
+  private Duration judgedAt = Duration.ZERO;
   private final BootEstimate boots = new BootEstimate();
   private final Map<String, JobSpec> lastOfClass = new HashMap<>();
   private boolean calling;
@@ -166,12 +165,15 @@
     } else if (heldSince.compareTo(stall.listeningSince()) < 0) {
       startAnew(now);
     }
-    for (Job job : world.jobs().values()) {
-      lastOfClass.put(job.record().spec().jobClass(), job.record().spec());
+    if (now.minus(judgedAt).compareTo(JUDGE_EVERY) >= 0) {
+      judgedAt = now;
+      for (Job job : world.jobs().values()) {
+        lastOfClass.put(job.record().spec().jobClass(), job.record().spec());
+      }
+      adoptOrphans(now);
+      judge(now);
+      consolidate(now);
     }
-    adoptOrphans(now);
-    judge(now);
-    consolidate(now);
     if (calling || !cloud.free()) {
       return;
     }
@@ -216,16 +218,18 @@
 
   /** Finds what is to be deleted, and drains what is idle. */
   private void judge(Duration now) {
-    Set<String> silent = new HashSet<>();
+    Map<String, List<String>> silent = new HashMap<>();
+    Map<String, Integer> owned = new HashMap<>();
     for (MachineRecord record : world.machines().values()) {
       String name = record.name();
+      owned.merge(record.owner(), 1, Integer::sum);
       Duration silence = desk.silentFor(name);
       View view = views.apply(name);
       if (silence == null && view != null && view.token() == world.token(record)) {
         silence = Duration.ofMillis(view.silentMs());
       }
       if (silence != null && silence.compareTo(operator.silentDelete()) > 0) {
-        silent.add(name);
+        silent.computeIfAbsent(record.owner(), k -> new ArrayList<>()).add(name);
       }
       Known k = known.get(name);
       if (k != null && k.status == Status.FAILED) {
@@ -248,9 +252,13 @@
     }
     idleSince.keySet().retainAll(world.machines().keySet());
     draining.retainAll(world.machines().keySet());
-    if (silent.size() <= Math.max(2, world.machines().size() * MASS)) {
-      silent.forEach(name -> mark(name, "silent for longer than " + operator.silentDelete()));
-    }
+    silent.forEach(
+        (owner, names) -> {
+          // Most machines of one owner at once: it is the owner that they can't reach.
+          if (names.size() <= Math.max(2, owned.get(owner) * WorkerDesk.MASS)) {
+            names.forEach(name -> mark(name, "silent for longer than " + operator.silentDelete()));
+          }
+        });
     judgeBooting(now);
   }
 
@@ -326,7 +334,9 @@
    * where starts are due sooner than a machine boots by far: there every machine is wanted warm.
    */
   private void consolidate(Duration now) {
-    boolean busy = !jobs.lastPlan().unmet().isEmpty() && urgentUnmet();
+    // What is rented may not come for long: nothing that runs is given back meanwhile.
+    boolean busy =
+        boots.anyOverdue() || (!jobs.lastPlan().unmet().isEmpty() && urgentUnmet());
     if (busy || now.minus(heldSince).compareTo(SETTLE) < 0) {
       lastBusy = now;
       return;
--- a/src/main/java/io/tansystack/jobs/Placement.java
+++ b/src/main/java/io/tansystack/jobs/Placement.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.wire.BadInput;
 import io.tansystack.wire.Read;
+import io.tansystack.wire.TaskId;
 
 /**
  * Tasks of a job that may exist on a machine in one of its sessions, all under one attempt number.
@@ -13,6 +14,21 @@
 public record Placement(String machine, long session, long attempt, TaskSet tasks, boolean stop) {
   private static final String STOP = " stop";
 
+  /** Written out for the reason given in {@link TaskId}: a changed record is compared part by part. */
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Placement placement
+        && session == placement.session
+        && attempt == placement.attempt
+        && stop == placement.stop
+        && machine.equals(placement.machine)
+        && tasks.equals(placement.tasks);
+  }
+
+  @Override
+  public int hashCode() {
+    return (machine.hashCode() * 31 + Long.hashCode(attempt)) * 31 + tasks.hashCode();
+  }
 
   /** Reads the written form: machine, session, attempt, tasks, and a last word where it is to stop. */
   static Placement read(JsonNode node) throws BadInput {
--- a/src/main/java/io/tansystack/schedule/MachineHistory.java
+++ b/src/main/java/io/tansystack/schedule/MachineHistory.java
@@ -1,6 +1,7 @@
 package io.tansystack.schedule;
 
 import io.tansystack.wire.JobSpec;
+import io.tansystack.wire.TaskId;
 import io.tansystack.wire.Report;
 import io.tansystack.wire.TaskReport;
 import io.tansystack.wire.TaskReport.Cause;
@@ -20,11 +21,13 @@
   private static final double BANDWIDTH_WEIGHT = 0.4;
   private static final double RUN_WEIGHT = 0.25;
 
+  private record Running(long attempt, Duration since) {}
+
   private final double cacheGb;
   private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
   private final Map<String, Duration> fetchSince = new HashMap<>();
   private final Map<String, Integer> fetchesAtStart = new HashMap<>();
-  private Map<String, Duration> runningSince = new HashMap<>();
+  private Map<TaskId, Running> runningSince = new HashMap<>();
   private double fetchGbPerS;
   private double logRatio;
   private int runs;
@@ -42,24 +45,28 @@
   }
 
   public void observe(Report report, Duration now, Function<String, JobSpec> specs) {
-    Map<String, Duration> running = new HashMap<>();
+    Map<TaskId, Running> running = new HashMap<>();
     Map<String, Double> fetching = new HashMap<>();
+    JobSpec last = null;
     for (TaskReport task : report.tasks()) {
       JobSpec spec = specs.apply(task.task().job());
       if (spec == null) {
         continue;
       }
-      String key = task.task() + "#" + task.attempt();
       if (task.state() == State.FETCHING) {
         fetching.put(spec.image(), spec.imageGb());
       } else if (!task.exited()) {
-        cached(spec, now);
+        if (spec != last) {
+          cached(spec, now); // Tasks of a job stand next to each other, as a rule.
+          last = spec;
+        }
         if (task.state() == State.RUNNING) {
-          Duration since = runningSince.get(key);
-          running.put(key, since == null ? now : since);
+          Duration since = since(task);
+          running.put(
+              task.task(), new Running(task.attempt(), since == null ? now : since));
         }
       } else if (task.cause() == Cause.DONE) {
-        Duration since = runningSince.get(key);
+        Duration since = since(task);
         cached(spec, now);
         // With checkpoints an attempt may have begun in the middle: its time says nothing.
         if (since != null && spec.estimateS() > 0 && spec.checkpointS() == 0) {
@@ -77,6 +84,11 @@
     runningSince = running;
   }
 
+  private Duration since(TaskReport task) {
+    Running known = runningSince.get(task.task());
+    return known == null || known.attempt != task.attempt() ? null : known.since;
+  }
+
   private void cached(JobSpec spec, Duration now) {
     Duration since = fetchSince.remove(spec.image());
     if (since != null && !images.containsKey(spec.image())) {
--- a/src/main/java/io/tansystack/wire/Report.java
+++ b/src/main/java/io/tansystack/wire/Report.java
@@ -68,6 +68,15 @@
     return with(List.of());
   }
 
+  /** Whether it says the same as an earlier one, but for its number: half of all reports do. */
+  public boolean saysNoMoreThan(Report other) {
+    return session == other.session
+        && token == other.token
+        && (noticeS == null) == (other.noticeS == null)
+        && address.equals(other.address)
+        && tasks.equals(other.tasks);
+  }
+
   /** Whether this message was made after the other one by the same worker. */
   public boolean newerThan(Report other) {
     return session != other.session ? session > other.session : seq > other.seq;
--- a/src/main/java/io/tansystack/wire/TaskId.java
+++ b/src/main/java/io/tansystack/wire/TaskId.java
@@ -14,6 +14,19 @@
     }
   }
 
+  // Written out: the generated ones go through method handles, which cost several times as much on
+  // the first compiler tier, and these are keys and elements that are compared all the time.
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof TaskId task && index == task.index && job.equals(task.job);
+  }
+
+  @Override
+  public int hashCode() {
+    return job.hashCode() * 31 + index;
+  }
+
   @Override
   public String toString() {
     return job + "/" + index;
--- a/src/main/java/io/tansystack/wire/TaskReport.java
+++ b/src/main/java/io/tansystack/wire/TaskReport.java
@@ -39,6 +39,22 @@
     }
   }
 
+  /** Written out for the reason given in {@link TaskId}: every report is compared to the one before. */
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof TaskReport report
+        && attempt == report.attempt
+        && state == report.state
+        && cause == report.cause
+        && saved == report.saved
+        && task.equals(report.task);
+  }
+
+  @Override
+  public int hashCode() {
+    return task.hashCode() * 31 + Long.hashCode(attempt);
+  }
+
   public boolean exited() {
     return state == State.EXITED;
   }
--- a/src/main/java/io/tansystack/workers/View.java
+++ b/src/main/java/io/tansystack/workers/View.java
@@ -138,6 +138,22 @@
   private record Group(
       String job, long attempt, TaskReport.State state, TaskReport.Cause cause, boolean saved) {
 
+    /** A key written out for the reason given in {@link TaskId}. */
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof Group group
+          && attempt == group.attempt
+          && state == group.state
+          && cause == group.cause
+          && saved == group.saved
+          && job.equals(group.job);
+    }
+
+    @Override
+    public int hashCode() {
+      return (job.hashCode() * 31 + Long.hashCode(attempt)) * 31 + state.ordinal();
+    }
+
     String write(TaskSet numbers) {
       int why = cause == null ? -1 : cause.ordinal();
       return state.ordinal() + " " + why + " " + (saved ? 1 : 0) + " " + job + " " + attempt + " "
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -61,6 +61,10 @@
   private static final Duration TELL_SILENT = Duration.ofSeconds(3);
   private static final Duration TELL_HINTS = Duration.ofSeconds(6);
   private static final Duration TELL_SAME = Duration.ofSeconds(10);
+
+  /** More machines than this part falling silent at once speaks of us or the network, not of them. */
+  public static final double MASS = 0.34;
+
   private static final double CLAIM_SHARE = 0.25;
   private static final int MAX_COMMANDS = 300;
   private static final int MAX_SENT_AWAY = 10_000;
@@ -105,7 +109,18 @@
 
   private record Claiming(Report report, Reply reply, Duration until) {}
 
-  private record Attempt(TaskId task, long attempt) {}
+  /** A key written out for the reason given in {@link TaskId}. */
+  private record Attempt(TaskId task, long attempt) {
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof Attempt a && attempt == a.attempt && task.equals(a.task);
+    }
+
+    @Override
+    public int hashCode() {
+      return task.hashCode() * 31 + Long.hashCode(attempt);
+    }
+  }
 
   private record SentAway(int times, Duration at) {}
 
@@ -118,7 +133,7 @@
   private final String boot;
   private final String zone;
   private final Duration workerLease;
-  private final Predicate<String> looksDown;
+  private final Predicate<String> unfit;
   private final Function<String, MachineType> types;
   private final Function<String, View> views;
   private final Consumer<View> publish;
@@ -143,7 +158,7 @@
       String zone,
       Duration workerLease,
       double writesPerSecond,
-      Predicate<String> looksDown,
+      Predicate<String> unfit,
       Function<String, MachineType> types,
       Function<String, View> views,
       Consumer<View> publish) {
@@ -159,7 +174,7 @@
     this.claimPace =
         new WriteBudget(
             writesPerSecond * CLAIM_SHARE, Math.max(2, writesPerSecond * CLAIM_SHARE * 2), loop.now());
-    this.looksDown = looksDown;
+    this.unfit = unfit;
     this.types = types;
     this.views = views;
     this.publish = publish;
@@ -233,6 +248,11 @@
     if (machine.latest != null && !report.newerThan(machine.latest)) {
       return;
     }
+    if (machine.latest != null && report.saysNoMoreThan(machine.latest)) {
+      // With the same list of tasks, so that it is known as unchanged from here on.
+      machine.latest = report.with(machine.latest.tasks());
+      return;
+    }
     machine.latest = report;
     machine.listed = listed(report);
     machine.settled = false;
@@ -259,7 +279,7 @@
     boolean ownerLives =
         record != null
             && world.alive(record.owner())
-            && !looksDown.test(record.owner());
+            && !unfit.test(record.owner());
     String to = null;
     if (ownerLives && !record.owner().equals(label)) {
       boolean ownerNear = inZone(record.owner(), report.zone());
@@ -302,7 +322,7 @@
     for (Map.Entry<String, World.ControllerRecord> entry : world.controllers().entrySet()) {
       if (entry.getValue().zone().equals(wanted)
           && !entry.getKey().equals(label)
-          && !looksDown.test(entry.getKey())) {
+          && !unfit.test(entry.getKey())) {
         near.add(entry.getKey());
       }
     }
@@ -420,6 +440,20 @@
         result -> {});
   }
 
+  /**
+   * Whether most machines of this controller have fallen silent together: then it is this controller
+   * that the workers can't reach. The others are told so, and take the workers over when they come,
+   * rather than sending them back here until their leases end.
+   */
+  public boolean deaf() {
+    Duration now = loop.now();
+    int silent = 0;
+    for (Machine machine : machines.values()) {
+      silent += silent(machine, now) ? 1 : 0;
+    }
+    return silent > 2 && silent > machines.size() * MASS;
+  }
+
   /** How long a machine of ours has been silent; null if it is not ours. */
   public Duration silentFor(String name) {
     Machine machine = machines.get(name);
@@ -686,7 +720,10 @@
     View old = machine.published;
     Duration since = now.minus(machine.publishedAt);
     if (old != null
-        && old.report() == machine.latest
+        && old.report().tasks() == machine.latest.tasks()
+        && old.report().session() == machine.latest.session()
+        && old.report().token() == machine.latest.token()
+        && (old.report().noticeS() == null) == (machine.latest.noticeS() == null)
         && old.token() == world.token(record)
         && old.voids().equals(voids)
         && since.compareTo(silent(machine, now) ? TELL_SILENT : TELL_SAME) < 0) {
--- /dev/null
+++ b/src/test/java/io/tansystack/cluster/PlannersTest.java
@@ -0,0 +1,34 @@
+package io.tansystack.cluster;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.tansystack.cluster.World.ControllerRecord;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class PlannersTest {
+  /** Each live controller is given as label, zone and version of its record. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      textBlock =
+          """
+          c-0 a 5                                     | c-0
+          c-0 a 5, c-1 a 6, c-2 b 7                   | c-0 c-1 c-2
+          c-0 a 5, c-1 a 6, c-2 a 7, c-3 b 9          | c-0 c-1 c-3
+          c-0 b 9, c-1 a 6, c-2 a 7, c-3 a 8          | c-0 c-1 c-2
+          c-0 a 40, c-1 a 6, c-2 b 7, c-3 a 8, c-4 b 9 | c-1 c-2 c-3
+          c-0 a 1, c-1 b 2, c-2 c 3, c-3 d 4          | c-0 c-1 c-2
+          """)
+  void theOldestSpreadOverZonesSoThatAReturnMovesNoWork(String live, String expected) {
+    Map<String, ControllerRecord> records = new TreeMap<>();
+    for (String one : live.split(", ")) {
+      String[] parts = one.trim().split(" ");
+      records.put(parts[0], new ControllerRecord("boot", parts[1], Long.parseLong(parts[2])));
+    }
+    assertEquals(List.of(expected.trim().split(" ")), Planners.choose(records));
+  }
+}
--- a/src/test/java/io/tansystack/sim/ClusterTest.java
+++ b/src/test/java/io/tansystack/sim/ClusterTest.java
@@ -60,10 +60,14 @@
   /** Whether connections between controllers are refused while all else works. */
   private boolean peersRefuse;
 
+  /** The controller that workers can't reach; -1 for none. */
+  private int deafTo = -1;
+
   /** How often an exchange goes wrong. */
   private double trouble;
 
   private int machineCounter;
+  private int maxMachines = 8;
 
   private static int port(int controller) {
     return 8080 + 10 * controller;
@@ -197,7 +201,7 @@
       type.putArray("Yards").add("a");
     } else if (path.equals("/machines")) {
       ArrayNode names = map.putArray("Berths");
-      for (int i = 0; i < body.get("HowMany").asInt() && workers.size() < 8; i++) {
+      for (int i = 0; i < body.get("HowMany").asInt() && workers.size() < maxMachines; i++) {
         names.add(addWorker());
       }
       if (names.isEmpty()) {
@@ -254,7 +258,10 @@
         next.run();
       }
     });
-    if (controller == null || silent.contains(worker.target) || random.nextDouble() < trouble) {
+    if (controller == null
+        || silent.contains(worker.target)
+        || deafTo == worker.target
+        || random.nextDouble() < trouble) {
       return;
     }
     boolean lost = random.nextDouble() < trouble;
@@ -503,6 +510,22 @@
     assertEquals(Set.of(), broken);
   }
 
+  /** Workers alone can't reach it; it must not hold their work, nor have them returned as silent. */
+  @Test
+  void aControllerThatWorkersCanNotReachGivesThemUp() throws Exception {
+    maxMachines = 18;
+    bootThreeWithWork(100);
+    Set<String> before = Set.copyOf(workers.keySet());
+    deafTo = fleetHolder();
+    loop.runFor(Duration.ofSeconds(22));
+    assertTrue(workers.keySet().containsAll(before), "none is returned as silent");
+    loop.runFor(Duration.ofSeconds(20));
+    deafTo = -1;
+    loop.runFor(Duration.ofSeconds(200));
+    assertEquals("done", state("wk-000001"));
+    assertEquals(100, started.size(), "nothing was lost and nothing ran twice");
+  }
+
   /** A packet filter between controllers that are all well: they must not go on taking each other's. */
   @Test
   void refusedConnectionsBetweenControllersMakeNoStormOfClaims() throws Exception {
