Broken jobs told apart from faulty machines; two planners; users answered at once without the state service

A job that failed on three machines and completed on none is tried with one task at a time, ever less often; nothing is stopped, kept or rented for it.

--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -41,6 +41,9 @@
   /** Other controllers may need less than their part of the write limit. */
   private static final double OVERCOMMIT = 1.8;
 
+  /** A single planner leaves room for submissions elsewhere. */
+  private static final double MOST_OF_WRITES = 0.6;
+
   private static final Duration SUMMARY_EVERY = Duration.ofSeconds(30);
 
   private final Loop loop;
@@ -80,7 +83,7 @@
     this.stall = new StallDetector(loop);
     double writes = settings.store().writeRps();
     int size = settings.size();
-    double share = size == 1 ? writes : Math.min(writes, writes / size * OVERCOMMIT);
+    double share = writeShare(size);
     this.store =
         new StoreClient(
             caller,
@@ -89,7 +92,7 @@
             new WriteBudget(share, Math.max(2, share), loop.now()),
             random);
     this.world = new World(this::worldChanged);
-    double watches = settings.store().rps() * 0.3 / size;
+    double watches = settings.store().rps() * 0.2 / size;
     this.watcher =
         new Watcher(
             store,
@@ -151,7 +154,7 @@
         new FleetDuty(
             loop, caller, store, world, lease, stall, slots, types, settings, operator, desk, views::get,
             jobs);
-    this.users = new UserApi(loop, store, world, settings, clock, types::all);
+    this.users = new UserApi(loop, store, world, settings, clock, types::all, this::storeAnswers);
     this.overseer =
         new Overseer(
             loop,
@@ -184,6 +187,7 @@
     }
     heardUntil = loop.now();
     ticks++;
+    store.writeRate(writeShare(slots.plans() ? slots.plannerCount() : settings.size()));
     if (ticks % 2 == 0) {
       desk.tick();
     }
@@ -196,6 +200,14 @@
     }
   }
 
+  /** Its part of the write limit, shared with so many others; those who plan write most of it. */
+  private double writeShare(int among) {
+    double writes = settings.store().writeRps();
+    return among == 1
+        ? writes
+        : Math.min(writes * MOST_OF_WRITES, writes / Math.max(2, among) * OVERCOMMIT);
+  }
+
   private void summarise() {
     loop.after(SUMMARY_EVERY, this::summarise);
     log.info(
--- a/src/main/java/io/tansystack/cluster/Planners.java
+++ b/src/main/java/io/tansystack/cluster/Planners.java
@@ -13,8 +13,11 @@
  * them, spread over zones, are enough. All controllers find the same ones from the same records.
  */
 final class Planners {
-  /** One of them may be down and another cut off, and there is still one that plans. */
-  static final int MOST = 3;
+  /** Up to so many controllers all plan: with them there is nothing to be saved. */
+  private static final int FEW = 3;
+
+  /** One may end or be cut off, and there is still one that plans while a third takes its place. */
+  private static final int MOST = 2;
 
   private Planners() {}
 
@@ -25,9 +28,10 @@
   static List<String> choose(Map<String, ControllerRecord> live) {
     List<String> left = new ArrayList<>(live.keySet());
     left.sort(Comparator.comparingLong(label -> live.get(label).version()));
+    int most = live.size() <= FEW ? FEW : MOST;
     List<String> chosen = new ArrayList<>();
     Map<String, Integer> zones = new HashMap<>();
-    while (chosen.size() < MOST && !left.isEmpty()) {
+    while (chosen.size() < most && !left.isEmpty()) {
       String next = left.get(0);
       for (String label : left) {
         if (in(zones, live, label) < in(zones, live, next)) {
--- a/src/main/java/io/tansystack/cluster/SlotDuty.java
+++ b/src/main/java/io/tansystack/cluster/SlotDuty.java
@@ -200,6 +200,11 @@
     return informed;
   }
 
+  /** How many controllers plan, as far as is known here. */
+  public int plannerCount() {
+    return Math.max(1, lastLive.size());
+  }
+
   /** Whether this controller has to plan. */
   public boolean plans() {
     return plans || holdsAny();
--- a/src/main/java/io/tansystack/cluster/World.java
+++ b/src/main/java/io/tansystack/cluster/World.java
@@ -78,8 +78,24 @@
     }
   }
 
-  /** A placement together with its job. */
-  public record Placed(Job job, Placement placement) {}
+  /** A placement together with its job, of which the newest record is looked up when it is asked for. */
+  public final class Placed {
+    private final String id;
+    private final Placement placement;
+
+    private Placed(String id, Placement placement) {
+      this.id = id;
+      this.placement = placement;
+    }
+
+    public Job job() {
+      return jobIndex.get(id);
+    }
+
+    public Placement placement() {
+      return placement;
+    }
+  }
 
   /**
    * What a batch of changes concerns, so that nothing else need be looked at again.
@@ -295,24 +311,28 @@
     Set<Placement> gone = new HashSet<>();
     if (old != null) {
       gone.addAll(old.record().placements());
-      for (Placement placement : old.record().placements()) {
-        List<Placed> on = byMachine.get(placement.machine());
-        if (on != null && on.removeIf(placed -> placed.job() == old) && on.isEmpty()) {
-          byMachine.remove(placement.machine());
-        }
-      }
     }
     if (job != null) {
       for (Placement placement : job.record().placements()) {
-        byMachine
-            .computeIfAbsent(placement.machine(), k -> new ArrayList<>())
-            .add(new Placed(job, placement));
-        if (!gone.remove(placement) || whole) {
+        boolean known = gone.remove(placement);
+        if (!known) {
+          byMachine
+              .computeIfAbsent(placement.machine(), k -> new ArrayList<>())
+              .add(new Placed(id, placement));
+        }
+        if (!known || whole) {
           touchedPlacedOn.add(placement.machine());
         }
       }
     }
-    gone.forEach(placement -> touchedPlacedOn.add(placement.machine()));
+    for (Placement placement : gone) {
+      touchedPlacedOn.add(placement.machine());
+      List<Placed> on = byMachine.get(placement.machine());
+      on.removeIf(placed -> placed.id.equals(id) && placed.placement.equals(placement));
+      if (on.isEmpty()) {
+        byMachine.remove(placement.machine());
+      }
+    }
   }
 
   public long revision() {
--- a/src/main/java/io/tansystack/jobs/JobDuty.java
+++ b/src/main/java/io/tansystack/jobs/JobDuty.java
@@ -65,8 +65,6 @@
   private static final int SHORT_REST = 8;
 
   private static final Duration FOREIGN_AFTER = Duration.ofMillis(2500);
-  private static final Duration AVOID = Duration.ofSeconds(30);
-  private static final Duration LONGEST_BACKOFF = Duration.ofSeconds(60);
 
   private static final Snapshot NOTHING =
       new Snapshot(List.of(), List.of(), List.of(), Map.of());
@@ -74,14 +72,6 @@
 
   private record Pending(JobRecord record, long baseVersion, long revision) {}
 
-  /** What this controller remembers of a job's troubles; lost with the process, by intent. */
-  private static final class Trouble {
-    final Map<String, Duration> avoid = new HashMap<>();
-    final Set<String> seen = new HashSet<>();
-    int errors;
-    Duration notBefore = Duration.ZERO;
-  }
-
   private record Unabsorbed(long version, Duration since) {}
 
   private record Candidate(Job job, JobRecord next, Proofs proofs, boolean places, boolean ends) {}
@@ -104,7 +94,7 @@
   private final Map<String, Team> teams = new HashMap<>();
   private final Map<String, Pending> pending = new HashMap<>();
   private final Map<String, Duration> lastWrite = new HashMap<>();
-  private final Map<String, Trouble> troubles = new HashMap<>();
+  private final FailureMemory failures = new FailureMemory();
   private final Map<String, Unabsorbed> unabsorbed = new HashMap<>();
   private final Set<String> teamsInFlight = new HashSet<>();
 
@@ -291,7 +281,7 @@
     if (job == null) {
       orderChanged |= effective.remove(id) != null;
       proofs.remove(id);
-      troubles.remove(id);
+      failures.forget(id);
       lastWrite.remove(id);
       return;
     }
@@ -319,37 +309,41 @@
 
   private Snapshot snapshot() {
     List<MachineState> machines = new ArrayList<>();
+    Duration now = loop.now();
+    failures.retain(world.machines().keySet());
     for (MachineRecord record : world.machines().values()) {
-      MachineState known = states.get(record.name());
+      boolean faulty = failures.faulty(record.name(), now);
+      MachineState known = faulty ? null : states.get(record.name());
       if (known == null) {
         MachineType type = types.apply(record.type());
         if (type == null) {
           continue;
         }
-        known = state(record, type, views.apply(record.name()));
-        states.put(record.name(), known);
+        known = state(record, type, views.apply(record.name()), faulty);
+        if (!faulty) {
+          states.put(record.name(), known); // The suspicion ends by time alone.
+        }
       }
       machines.add(known);
     }
-    Duration now = loop.now();
     long wallMs = clock.millis();
     List<JobState> jobs = new ArrayList<>();
     for (Map.Entry<String, JobRecord> entry : inOrder()) {
       if (entry.getValue().spec() == null) {
         continue;
       }
-      Trouble trouble = troubles.get(entry.getKey());
-      Set<String> avoid = Set.of();
-      boolean waiting = !pending.containsKey(entry.getKey());
-      if (trouble != null) {
-        trouble.avoid.values().removeIf(until -> now.compareTo(until) > 0);
-        avoid = Set.copyOf(trouble.avoid.keySet());
-        waiting &= now.compareTo(trouble.notBefore) >= 0;
-      }
+      String id = entry.getKey();
+      boolean waiting = !pending.containsKey(id) && !failures.pauses(id, now);
       JobRecord record = entry.getValue();
       boolean impatient =
           wallMs - record.submittedMs() >= patienceMs.getOrDefault(record.spec().jobClass(), 1000L);
-      jobs.add(new JobState(entry.getKey(), record, waiting, impatient, avoid));
+      // Of a service nothing ever completes, so failures alone say too little of it.
+      boolean suspected =
+          failures.suspected(id)
+              && record.done().isEmpty()
+              && record.spec().shape() != Shape.SERVICE;
+      jobs.add(
+          new JobState(id, record, waiting, impatient, suspected, failures.avoid(id, now)));
     }
     return new Snapshot(machines, booting.get(), jobs, teams);
   }
@@ -370,7 +364,8 @@
     return entries;
   }
 
-  private MachineState state(MachineRecord record, MachineType type, View view) {
+  private MachineState state(
+      MachineRecord record, MachineType type, View view, boolean faulty) {
     Set<String> coming = new HashSet<>();
     double queued = 0;
     if (view != null) {
@@ -388,6 +383,7 @@
     boolean open =
         view != null
             && !record.drain()
+            && !faulty
             && world.alive(record.owner())
             && view.token() == world.token(record)
             && view.report().token() == world.token(record)
@@ -410,32 +406,21 @@
 
   private void remember(String job, Proofs found) {
     Duration now = loop.now();
-    for (Proofs.Failure failure : found.failures()) {
-      Trouble trouble = troubles.computeIfAbsent(job, k -> new Trouble());
-      if (!trouble.seen.add(failure.task() + "@" + failure.machine() + "@" + failure.cause())) {
-        continue;
-      }
-      if (trouble.seen.size() > 1000) {
-        trouble.seen.clear();
+    for (JobRecord.Over over : found.over()) {
+      if (over.done()) {
+        failures.succeeded(job, over.machine());
       }
-      log.info(
-          "failed task={}/{} machine={} cause={}",
-          job,
-          failure.task(),
-          failure.machine(),
-          failure.cause());
-      if (failure.cause() == Cause.PEERS || failure.cause() == Cause.ALONE) {
-        continue;
-      }
-      trouble.avoid.put(failure.machine(), now.plus(AVOID));
-      if (failure.cause() == Cause.ERROR || failure.cause() == Cause.UNKNOWN) {
-        // A job with a mistake in it fails everywhere: it must not keep machines busy with failing.
-        trouble.errors++;
-        Duration backoff = Duration.ofMillis(500L << Math.min(trouble.errors, 7));
-        trouble.notBefore =
-            now.plus(backoff.compareTo(LONGEST_BACKOFF) > 0 ? LONGEST_BACKOFF : backoff);
+    }
+    boolean before = failures.suspected(job);
+    for (Proofs.Failure f : found.failures()) {
+      if (failures.failed(job, f.task(), f.attempt(), f.machine(), f.cause(), now)) {
+        log.debug(
+            "failed task={}/{} machine={} cause={}", job, f.task(), f.machine(), f.cause());
       }
     }
+    if (!before && failures.suspected(job)) {
+      log.warn("suspected job={}: it fails on every machine and is tried seldom from now on", job);
+    }
   }
 
   private List<Candidate> candidates() {
--- a/src/main/java/io/tansystack/jobs/UserApi.java
+++ b/src/main/java/io/tansystack/jobs/UserApi.java
@@ -26,6 +26,7 @@
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -48,6 +49,7 @@
   private final InstantSource clock;
   private final Supplier<Collection<MachineType>> types;
   private final Loop loop;
+  private final BooleanSupplier storeAnswers;
   private final ArrayDeque<Poll> polls = new ArrayDeque<>();
   private final RecordLimit limit;
   private int open;
@@ -60,7 +62,8 @@
       World world,
       PlatformSettings settings,
       InstantSource clock,
-      Supplier<Collection<MachineType>> types) {
+      Supplier<Collection<MachineType>> types,
+      BooleanSupplier storeAnswers) {
     this.loop = loop;
     this.store = store;
     this.world = world;
@@ -68,6 +71,7 @@
     this.limit = new RecordLimit(settings.store().valueBytes());
     this.clock = clock;
     this.types = types;
+    this.storeAnswers = storeAnswers;
   }
 
   /** An answer that also counts the request as over; more than so many are shed at once. */
@@ -89,7 +93,12 @@
     }
   }
 
+  /** What can't be served now is answered at once, with when to come back, rather than left to time out. */
   private boolean shed(Reply reply) {
+    if (!storeAnswers.getAsBoolean()) {
+      reply.send(503, Cbor.encode(Answers.error("the state service does not answer")), 1);
+      return true;
+    }
     if (open < MAX_OPEN) {
       return false;
     }
--- a/src/main/java/io/tansystack/schedule/AcceleratorKeep.java
+++ b/src/main/java/io/tansystack/schedule/AcceleratorKeep.java
@@ -55,7 +55,7 @@
     }
     Ask ask = Ask.of(spec);
     shapes.putIfAbsent(ask, spec);
-    if (job.record().placements().isEmpty()) {
+    if (job.record().placements().isEmpty() && !job.suspected()) {
       waiting.computeIfAbsent(ask, k -> new Waiting(spec)).tasks += spec.tasks();
       waitingTasks += spec.tasks();
     }
--- a/src/main/java/io/tansystack/schedule/Planner.java
+++ b/src/main/java/io/tansystack/schedule/Planner.java
@@ -160,6 +160,9 @@
     if (wanted == 0 || allowed == 0 || (spec.shape() == Shape.GANG && allowed < wanted)) {
       return; // It waits for its team, not for a machine.
     }
+    if (job.suspected() && spec.shape() != Shape.GANG) {
+      allowed = record.placements().isEmpty() ? 1 : 0;
+    }
     int[] tasks = unplaced.stream().limit(Math.min(allowed, wanted)).toArray();
     Map<String, BitSet> chosen =
         spec.shape() == Shape.GANG ? placeGang(job, tasks) : placeEach(job, tasks);
@@ -175,7 +178,7 @@
       plan.placements().put(job.id(), round);
     }
     int left = tasks.length - placed;
-    if (left > 0) {
+    if (left > 0 && !job.suspected()) {
       int stillLeft = makeRoom(job, left);
       if (stillLeft > 0) {
         plan.unmet().add(new Unmet(job.id(), spec, stillLeft, teams.guaranteed(job.id())));
--- a/src/main/java/io/tansystack/schedule/Snapshot.java
+++ b/src/main/java/io/tansystack/schedule/Snapshot.java
@@ -54,8 +54,15 @@
    *
    * @param waiting whether its unplaced tasks may be placed by this pass
    * @param impatient whether it has waited long enough to have others stopped for it
+   * @param suspected whether the job itself seems to be at fault: one task at a time is tried where
+   *     there is room, and nothing is stopped, kept or rented for it
    * @param avoid machines where it lately failed or was refused
    */
   public record JobState(
-      String id, JobRecord record, boolean waiting, boolean impatient, Set<String> avoid) {}
+      String id,
+      JobRecord record,
+      boolean waiting,
+      boolean impatient,
+      boolean suspected,
+      Set<String> avoid) {}
 }
--- a/src/main/java/io/tansystack/store/StoreClient.java
+++ b/src/main/java/io/tansystack/store/StoreClient.java
@@ -73,6 +73,11 @@
     this.lastSuccess = loop.now();
   }
 
+  /** This controller's part of the write limit from now on. */
+  public void writeRate(double perSecond) {
+    budget.rate(perSecond, Math.max(2, perSecond), loop.now());
+  }
+
   /** When the service last carried out something for this controller. */
   public Duration lastSuccess() {
     return lastSuccess;
--- a/src/main/java/io/tansystack/store/WriteBudget.java
+++ b/src/main/java/io/tansystack/store/WriteBudget.java
@@ -7,19 +7,25 @@
  * (submissions, cancellations, claims) may empty it; others leave a reserve for them.
  */
 public final class WriteBudget {
-  private final double perSecond;
-  private final double burst;
-  private final double reserve;
+  private double perSecond;
+  private double burst;
+  private double reserve;
   private double level;
   private Duration at;
   private Duration blockedUntil = Duration.ZERO;
 
   public WriteBudget(double perSecond, double burst, Duration now) {
+    this.at = now;
+    rate(perSecond, burst, now);
+    this.level = burst;
+  }
+
+  /** From now on the part is this one: who plans writes more than others. */
+  public void rate(double perSecond, double burst, Duration now) {
+    refill(now);
     this.perSecond = perSecond;
     this.burst = burst;
     this.reserve = Math.min(burst / 3, 4);
-    this.level = burst;
-    this.at = now;
   }
 
   private void refill(Duration now) {
--- a/src/main/java/io/tansystack/workers/Proofs.java
+++ b/src/main/java/io/tansystack/workers/Proofs.java
@@ -36,7 +36,7 @@
 public record Proofs(List<Over> over, List<Condition> conditions, List<Failure> failures) {
 
   /** An attempt that ended by something else than its completion or a stop. */
-  public record Failure(int task, String machine, Cause cause) {}
+  public record Failure(int task, long attempt, String machine, Cause cause) {}
 
   /**
    * @param maxConditions a transaction holds so many only. Proofs beyond that are left for the next
@@ -67,7 +67,7 @@
         if (task.attempt() == p.attempt() && p.tasks().contains(index)) {
           over.add(new Over(index, p.attempt(), p.machine(), task.cause() == Cause.DONE));
           if (task.cause() != Cause.DONE && task.cause() != Cause.STOPPED) {
-            failures.add(new Failure(index, p.machine(), task.cause()));
+            failures.add(new Failure(index, p.attempt(), p.machine(), task.cause()));
           }
         }
       }
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -55,7 +55,7 @@
   private static final Duration CLAIM_WAIT = Duration.ofMillis(3500);
   private static final Duration HALT_AGAIN = Duration.ofSeconds(5);
   private static final Duration COMES_BACK = Duration.ofSeconds(20);
-  private static final Duration FORGET_WAIT = Duration.ofSeconds(2);
+  private static final Duration FORGET_WAIT = Duration.ofSeconds(6);
   private static final int MANY_FORGETS = 40;
   private static final Duration SILENT = Duration.ofSeconds(7);
   private static final Duration TELL_SILENT = Duration.ofSeconds(3);
--- a/src/test/java/io/tansystack/sim/ClusterTest.java
+++ b/src/test/java/io/tansystack/sim/ClusterTest.java
@@ -543,6 +543,32 @@
     return store.writes("ts/slots/");
   }
 
+  /** Nothing is held back to keep its sender waiting: who can't be served is told so at once. */
+  @Test
+  void usersOfOneThatTheStateServiceRefusesAreAnsweredAtOnce() throws Exception {
+    controllerCount = 2;
+    boot(0);
+    boot(1);
+    loop.runFor(Duration.ofSeconds(12));
+    submit("wk-000001", 4);
+    refused = 0;
+    loop.runFor(Duration.ofSeconds(5));
+    int[] answer = new int[2];
+    for (String path : List.of("/v1/jobs/wk-000001", "/v1/jobs/wk-000001/abort", "/v1/jobs")) {
+      controllers.get(0).front(
+          path.startsWith("/v1/jobs/wk-000001") && !path.endsWith("abort") ? "GET" : "POST",
+          path,
+          Cbor.encode(spec("wk-000002", 1).write()),
+          (status, bytes, retryAfter) -> {
+            answer[0] = status;
+            answer[1] = retryAfter;
+          });
+      assertEquals(503, answer[0], path);
+      assertTrue(answer[1] > 0, path);
+      answer[0] = 0;
+    }
+  }
+
   private long slotsOf(String label) {
     return store.values.entrySet().stream()
         .filter(e -> e.getKey().startsWith("ts/slots/"))
