--- a/src/main/java/io/tansystack/fleet/FleetDuty.java
+++ b/src/main/java/io/tansystack/fleet/FleetDuty.java
@@ -220,6 +220,7 @@
   private void judge(Duration now) {
     Map<String, List<String>> silent = new HashMap<>();
     Map<String, Integer> owned = new HashMap<>();
+    Map<String, Integer> quiet = new HashMap<>();
     for (MachineRecord record : world.machines().values()) {
       String name = record.name();
       owned.merge(record.owner(), 1, Integer::sum);
@@ -228,6 +229,9 @@
       if (silence == null && view != null && view.token() == world.token(record)) {
         silence = Duration.ofMillis(view.silentMs());
       }
+      if (silence != null && silence.compareTo(operator.silentDelete().dividedBy(2)) > 0) {
+        quiet.merge(record.owner(), 1, Integer::sum);
+      }
       if (silence != null && silence.compareTo(operator.silentDelete()) > 0) {
         silent.computeIfAbsent(record.owner(), k -> new ArrayList<>()).add(name);
       }
@@ -255,7 +259,8 @@
     silent.forEach(
         (owner, names) -> {
           // Most machines of one owner at once: it is the owner that they can't reach.
-          if (names.size() <= Math.max(2, owned.get(owner) * WorkerDesk.MASS)) {
+          // The first to be silent for long enough are few; those that follow them count too.
+          if (quiet.get(owner) <= Math.max(2, owned.get(owner) * WorkerDesk.MASS)) {
             names.forEach(name -> mark(name, "silent for longer than " + operator.silentDelete()));
           }
         });
--- a/src/main/java/io/tansystack/jobs/JobDuty.java
+++ b/src/main/java/io/tansystack/jobs/JobDuty.java
@@ -20,6 +20,7 @@
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.MachineType;
+import io.tansystack.wire.Priority;
 import io.tansystack.wire.Shape;
 import io.tansystack.wire.StoreWire.Condition;
 import io.tansystack.wire.StoreWire.Write;
@@ -104,6 +105,9 @@
   private List<String> order = new ArrayList<>();
   private boolean orderChanged;
 
+  /** Whether the last pass planned. */
+  private boolean planned;
+
   private final Map<String, Proofs> proofs = new HashMap<>();
   private final Map<String, MachineState> states = new HashMap<>();
   private final Set<String> dirtyJobs = new HashSet<>();
@@ -198,9 +202,13 @@
       return;
     }
     settlePending();
+    if (slots.plans() != planned) {
+      planned = !planned;
+      dirtyJobs.addAll(world.jobs().keySet());
+    }
     dirtyJobs.forEach(this::refresh);
     dirtyJobs.clear();
-    if (slots.plans()) {
+    if (planned) {
       snapshot = snapshot();
       plan =
           Planner.plan(
@@ -220,8 +228,10 @@
    */
   public void touched(World.Touched touched) {
     for (String id : touched.jobs()) {
-      dirtyJobs.add(id);
       Job job = world.job(id);
+      if (planned || job == null || proofs.containsKey(id)) {
+        dirtyJobs.add(id); // Who doesn't plan only looks for proofs that nobody takes in.
+      }
       if (job != null && job.record().attempt() == 0 && slots.holds(job.slot())) {
         wakeIn(gap(SHORT_REST));
       }
@@ -232,7 +242,9 @@
     if (touched.controllers()) {
       // Tokens, and whether a machine is open, depend on its owner's record.
       states.clear();
-      dirtyJobs.addAll(world.jobs().keySet());
+      if (planned) {
+        dirtyJobs.addAll(world.jobs().keySet());
+      }
     }
   }
 
@@ -449,7 +461,11 @@
       }
     }
     candidates.sort(
-        Comparator.comparing((Candidate c) -> !c.ends)
+        // A swarm of small jobs that end must not hold up the replicas that users wait for.
+        Comparator.comparing(
+                (Candidate c) ->
+                    !(c.places && c.job.record().spec().priority() == Priority.PRODUCTION))
+            .thenComparing(c -> !c.ends)
             .thenComparing(c -> c.job.record().spec().priority())
             .thenComparing(c -> !c.places)
             .thenComparingLong(c -> c.job.record().submittedMs()));
--- a/src/main/java/io/tansystack/schedule/Planner.java
+++ b/src/main/java/io/tansystack/schedule/Planner.java
@@ -100,7 +100,7 @@
     return plan;
   }
 
-  /** By priority, work within its team's guarantee first, and by arrival within that. */
+  /** By priority, work within its team's guarantee first, and by turn within that. */
   private List<JobState> byPriority(List<JobState> byArrival) {
     List<List<JobState>> classes = new ArrayList<>();
     for (int i = 0; i < 2 * Priority.values().length; i++) {
@@ -111,7 +111,8 @@
       classes.get(teams.guaranteed(job.id()) ? at : at + 1).add(job);
     }
     List<JobState> order = new ArrayList<>(byArrival.size());
-    classes.forEach(order::addAll);
+    Turns turns = new Turns(snapshot.machines());
+    classes.forEach(jobs -> order.addAll(turns.order(jobs)));
     return order;
   }
 
--- /dev/null
+++ b/src/main/java/io/tansystack/schedule/Turns.java
@@ -0,0 +1,50 @@
+package io.tansystack.schedule;
+
+import io.tansystack.schedule.Snapshot.JobState;
+import io.tansystack.schedule.Snapshot.MachineState;
+import io.tansystack.wire.JobSpec;
+import io.tansystack.wire.Shape;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Whose turn it is among jobs of the same standing: by arrival, but an array lets others go first by
+ * as long as the rest of it would keep a part of the cluster busy. Where there is too little room for
+ * all, one huge array would otherwise keep everybody behind it waiting until nobody is in time; and
+ * what waits for long still gets its turn, since arrivals go on and its handicap does not grow.
+ */
+final class Turns {
+  private static final double PART = 0.05;
+
+  private record Turn(double at, JobState job) {}
+
+  private final double cpus;
+
+  Turns(Collection<MachineState> machines) {
+    double sum = 0;
+    for (MachineState machine : machines) {
+      sum += machine.type().cpus();
+    }
+    this.cpus = Math.max(1, sum * PART);
+  }
+
+  List<JobState> order(List<JobState> byArrival) {
+    List<Turn> turns = new ArrayList<>(byArrival.size());
+    for (JobState job : byArrival) {
+      turns.add(new Turn(job.record().submittedMs() + handicapMs(job), job));
+    }
+    turns.sort(Comparator.comparingDouble(Turn::at).thenComparing(turn -> turn.job.id()));
+    return turns.stream().map(Turn::job).toList();
+  }
+
+  private double handicapMs(JobState job) {
+    JobSpec spec = job.record().spec();
+    if (spec.shape() != Shape.ARRAY) {
+      return 0;
+    }
+    int left = spec.tasks() - job.record().done().size();
+    return left * spec.cpus() * spec.estimateS() / cpus * 1000;
+  }
+}
--- a/src/test/java/io/tansystack/schedule/PlannerTest.java
+++ b/src/test/java/io/tansystack/schedule/PlannerTest.java
@@ -186,6 +186,16 @@
     assertTrue(plan().stops().isEmpty());
   }
 
+  /** A huge array lets small ones go first, for a while; then it gets its turn. */
+  @ParameterizedTest
+  @CsvSource({"0, wk-2", "30, wk-2", "20000, wk-1"})
+  void aHugeArrayDoesNotKeepSmallOnesWaiting(long laterS, String first) {
+    machine("a0", SMALL, "a");
+    job(spec("wk-1", Shape.ARRAY, Priority.LOW, 1000, 1, 0, false, false), 0);
+    job(spec("wk-2", Shape.ARRAY, Priority.LOW, 4, 1, 0, false, false), laterS * 1000);
+    assertEquals(4, placed(plan(), first));
+  }
+
   /** Hundreds of tasks that all fail would stop others' work, and have machines rented, in vain. */
   @Test
   void aSuspectedJobIsTriedWithOneTaskAndNothingIsStoppedOrRentedForIt() {
