--- a/src/main/java/io/tansystack/fleet/FleetDuty.java
+++ b/src/main/java/io/tansystack/fleet/FleetDuty.java
@@ -62,9 +62,13 @@
   private static final Duration ORPHANED = Duration.ofSeconds(9);
   private static final Duration SETTLE = Duration.ofSeconds(15);
   private static final double MAX_KEEP = 12;
+  private static final Duration EXPECTED = Duration.ofSeconds(120);
   private static final Duration NEWS_LIFE = Duration.ofSeconds(3);
   private static final int MAX_ADOPT = 4;
 
+  /** The latest job of a class, and when it was first seen here. */
+  private record Arrival(JobSpec spec, long submittedMs, Duration at) {}
+
   private static final class Known {
     final Kind kind;
     final Duration since;
@@ -104,7 +108,7 @@
   private final Set<String> draining = new HashSet<>();
   private Duration judgedAt = Duration.ZERO;
   private final BootEstimate boots = new BootEstimate();
-  private final Map<String, JobSpec> lastOfClass = new HashMap<>();
+  private final Map<String, Arrival> arrivals = new HashMap<>();
   private boolean calling;
   private long heldVersion;
   private Duration heldSince;
@@ -167,9 +171,7 @@
     }
     if (now.minus(judgedAt).compareTo(JUDGE_EVERY) >= 0) {
       judgedAt = now;
-      for (Job job : world.jobs().values()) {
-        lastOfClass.put(job.record().spec().jobClass(), job.record().spec());
-      }
+      noteArrivals(now);
       adoptOrphans(now);
       judge(now);
       consolidate(now);
@@ -316,16 +318,32 @@
     return Duration.ofMillis((long) (operator.idleReturn().toMillis() * keepFactor(types.get(record.type()))));
   }
 
+  /** Machines are kept warm for classes of which jobs still come, not for those of an hour ago. */
+  private void noteArrivals(Duration now) {
+    for (Job job : world.jobs().values()) {
+      JobSpec spec = job.record().spec();
+      long at = job.record().submittedMs();
+      Arrival known = arrivals.get(spec.jobClass());
+      if (known == null || at > known.submittedMs) {
+        arrivals.put(spec.jobClass(), new Arrival(spec, at, now));
+      }
+    }
+  }
+
   private double keepFactor(MachineType type) {
     if (type == null) {
       return 1;
     }
     double factor = 1;
     for (Objective aim : settings.objectives()) {
-      JobSpec spec = aim.jobClass() == null ? null : lastOfClass.get(aim.jobClass());
-      if (!aim.kind().equals("wait") || spec == null || !spec.allowsType(type.name())) {
+      Arrival latest = aim.jobClass() == null ? null : arrivals.get(aim.jobClass());
+      if (!aim.kind().equals("wait")
+          || latest == null
+          || loop.now().minus(latest.at).compareTo(EXPECTED) > 0
+          || !latest.spec.allowsType(type.name())) {
         continue;
       }
+      JobSpec spec = latest.spec;
       if (type.fits(spec) && (type.gpus() <= 0 || spec.gpus() > 0)) {
         double within = Math.max(0.1, seconds(aim.within()));
         factor = Math.max(factor, Math.min(MAX_KEEP, type.bootS() / within));
