--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -152,9 +152,11 @@
             pass -> latencies.measure("pass", pass), clock);
     this.fleet =
         new FleetDuty(
-            loop, caller, store, world, lease, stall, slots, types, settings, operator, desk, views::get,
-            jobs);
-    this.users = new UserApi(loop, store, world, settings, clock, types::all, this::storeAnswers);
+            loop, caller, store, world, lease, stall, slots, types, settings, operator, desk,
+            views::get, jobs);
+    this.users =
+        new UserApi(
+            loop, store, world, settings, clock, types::all, this::storeAnswers, watcher::confirm);
     this.overseer =
         new Overseer(
             loop,
--- a/src/main/java/io/tansystack/cluster/PeerLink.java
+++ b/src/main/java/io/tansystack/cluster/PeerLink.java
@@ -344,8 +344,8 @@
 
   /**
    * Whether the peer neither answers nor refuses, or says that it does not hear its workers: it may be
-   * standing still, or be cut off. Workers need not be sent to it, while its slots are left to it until its record ends: were zones
-   * cut off from each other, each would take the other's.
+   * standing still, or be cut off. Workers need not be sent to it, while its slots are left to it
+   * until its record ends: were zones cut off from each other, each would take the other's.
    */
   public boolean unfitForWorkers(String peer) {
     Link link = links.get(peer);
--- a/src/main/java/io/tansystack/jobs/UserApi.java
+++ b/src/main/java/io/tansystack/jobs/UserApi.java
@@ -41,6 +41,7 @@
   private static final int MAX_OPEN = 128;
   private static final int CANCEL_TRIES = 6;
   private static final Duration POLL_WAIT = Duration.ofMillis(200);
+  private static final Duration LONGEST_POLL_WAIT = Duration.ofMillis(700);
   private static final Duration SUBMIT_WAIT = Duration.ofMillis(2500);
 
   private final StoreClient store;
@@ -50,6 +51,7 @@
   private final Supplier<Collection<MachineType>> types;
   private final Loop loop;
   private final BooleanSupplier storeAnswers;
+  private final Runnable confirm;
   private final ArrayDeque<Poll> polls = new ArrayDeque<>();
   private final RecordLimit limit;
   private int open;
@@ -63,7 +65,8 @@
       PlatformSettings settings,
       InstantSource clock,
       Supplier<Collection<MachineType>> types,
-      BooleanSupplier storeAnswers) {
+      BooleanSupplier storeAnswers,
+      Runnable confirm) {
     this.loop = loop;
     this.store = store;
     this.world = world;
@@ -72,6 +75,7 @@
     this.clock = clock;
     this.types = types;
     this.storeAnswers = storeAnswers;
+    this.confirm = confirm;
   }
 
   /** An answer that also counts the request as over; more than so many are shed at once. */
@@ -315,14 +319,23 @@
     }
   }
 
-  /** Where nothing changes, the copy is confirmed seldom: polls that have waited get their own read. */
+  /**
+   * Where nothing changes, the copy is confirmed seldom: it is asked for once, for all polls that
+   * wait. Those that have waited even longer get their own read.
+   */
   private void readLongest() {
     Duration now = loop.now();
-    while (!polls.isEmpty() && now.minus(polls.peek().at).compareTo(POLL_WAIT) >= 0) {
+    while (!polls.isEmpty() && now.minus(polls.peek().at).compareTo(LONGEST_POLL_WAIT) >= 0) {
       read(polls.poll());
     }
     if (!polls.isEmpty()) {
-      loop.after(POLL_WAIT.minus(now.minus(polls.peek().at)), this::readLongest);
+      Duration left = POLL_WAIT.minus(now.minus(polls.peek().at));
+      if (!left.isNegative() && !left.isZero()) {
+        loop.after(left, this::readLongest);
+        return;
+      }
+      confirm.run();
+      loop.after(POLL_WAIT, this::readLongest);
     }
   }
 
--- a/src/main/java/io/tansystack/store/Watcher.java
+++ b/src/main/java/io/tansystack/store/Watcher.java
@@ -39,6 +39,7 @@
   private final Listener listener;
   private final Consumer<Duration> synced;
   private Duration syncedAt;
+  private boolean confirming;
   private long revision;
 
   /** @param synced told, after the listener, up to which moment the copy is complete */
@@ -61,6 +62,35 @@
     load(new ArrayList<>(), "", -1, loop.now());
   }
 
+  /**
+   * Asks whether the copy is complete, where nothing has been heard for a while: if the service's
+   * revision is the one that is known here, it is, up to the moment of asking. If not, the watch is
+   * about to bring what is missing. One answer serves all who wait.
+   */
+  public void confirm() {
+    if (confirming || syncedAt == null) {
+      return;
+    }
+    confirming = true;
+    Duration sentAt = loop.now();
+    store.request(
+        "GET",
+        StoreWire.revisionPath(prefix),
+        null,
+        PAGE_TIMEOUT,
+        (status, map) -> {
+          confirming = false;
+          try {
+            if (status == 200 && StoreWire.readList(map).revision() <= revision) {
+              syncedAt = sentAt.compareTo(syncedAt) > 0 ? sentAt : syncedAt;
+              synced.accept(sentAt);
+            }
+          } catch (BadInput e) {
+            log.warn("state service: unreadable list: {}", e.getMessage());
+          }
+        });
+  }
+
   /** The copy holds at least all that was committed before this moment; null before the first load. */
   public Duration syncedAt() {
     return syncedAt;
--- a/src/main/java/io/tansystack/wire/StoreWire.java
+++ b/src/main/java/io/tansystack/wire/StoreWire.java
@@ -60,6 +60,11 @@
     return "/store?Starts=" + prefix + (after.isEmpty() ? "" : "&Since=" + after) + "&Limit=1000";
   }
 
+  /** Lists nothing, but tells the service's revision. */
+  public static String revisionPath(String prefix) {
+    return "/store?Starts=" + prefix + "none/&Limit=1";
+  }
+
   public static Changes readList(ObjectNode map) throws BadInput {
     List<Change> changes = new ArrayList<>();
     for (JsonNode node : Read.list(map, "Pairs")) {
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -60,7 +60,7 @@
   private static final Duration SILENT = Duration.ofSeconds(7);
   private static final Duration TELL_SILENT = Duration.ofSeconds(3);
   private static final Duration TELL_HINTS = Duration.ofSeconds(6);
-  private static final Duration TELL_SAME = Duration.ofSeconds(10);
+  private static final Duration TELL_SAME = Duration.ofSeconds(30);
 
   /** More machines than this part falling silent at once speaks of us or the network, not of them. */
   public static final double MASS = 0.34;
@@ -74,6 +74,11 @@
     final MachineHistory history;
     Report latest;
 
+    /** What its reports are answered with; it changes with the token only. */
+    byte[] answer;
+
+    long answerToken = -1;
+
     /** The newest report's lines by attempt, made once for each report. */
     Map<Attempt, TaskReport> listed = Map.of();
 
@@ -222,7 +227,11 @@
     Duration now = loop.now();
     Machine machine = machine(record, now);
     machine.answeredAt = now;
-    reply.send(200, Cbor.encode(Answers.report(token)));
+    if (machine.answerToken != token) {
+      machine.answerToken = token;
+      machine.answer = Cbor.encode(Answers.report(token));
+    }
+    reply.send(200, machine.answer);
     take(machine, report);
     tend(machine);
   }
