--- a/src/main/java/io/tansystack/fleet/FleetDuty.java
+++ b/src/main/java/io/tansystack/fleet/FleetDuty.java
@@ -63,6 +63,7 @@
   private static final Duration SETTLE = Duration.ofSeconds(15);
   private static final double MAX_KEEP = 12;
   private static final Duration EXPECTED = Duration.ofSeconds(120);
+  private static final Duration FOREVER = Duration.ofDays(10_000);
   private static final Duration NEWS_LIFE = Duration.ofSeconds(3);
   private static final int MAX_ADOPT = 4;
 
@@ -315,7 +316,7 @@
    * could be up, up to twelve times.
    */
   private Duration keepIdle(MachineRecord record) {
-    return Duration.ofMillis((long) (operator.idleReturn().toMillis() * keepFactor(types.get(record.type()))));
+    return Duration.ofMillis((long) (operator.idleReturn().toMillis() * keepFactor(types.get(record.type()), EXPECTED)));
   }
 
   /** Machines are kept warm for classes of which jobs still come, not for those of an hour ago. */
@@ -330,7 +331,8 @@
     }
   }
 
-  private double keepFactor(MachineType type) {
+  /** @param lately only classes of which a job has come within this time count */
+  private double keepFactor(MachineType type, Duration lately) {
     if (type == null) {
       return 1;
     }
@@ -339,7 +341,7 @@
       Arrival latest = aim.jobClass() == null ? null : arrivals.get(aim.jobClass());
       if (!aim.kind().equals("wait")
           || latest == null
-          || loop.now().minus(latest.at).compareTo(EXPECTED) > 0
+          || loop.now().minus(latest.at).compareTo(lately) > 0
           || !latest.spec.allowsType(type.name())) {
         continue;
       }
@@ -376,7 +378,8 @@
     String name =
         Consolidation.pick(
             jobs.lastSnapshot(),
-            machine -> keepFactor(machine.type()) < MAX_KEEP,
+            // Machines that are wanted warm when jobs come are not worth moving replicas about.
+            machine -> keepFactor(machine.type(), FOREVER) < MAX_KEEP,
             operator.spareReplicas());
     MachineRecord record = name == null ? null : world.machine(name);
     if (record != null) {
