--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -19,7 +19,7 @@
 import io.tansystack.settings.PlatformSettings;
 import io.tansystack.store.StoreClient;
 import io.tansystack.store.Watcher;
-import io.tansystack.store.WriteBudget;
+import io.tansystack.store.RateBudget;
 import io.tansystack.wire.Answers;
 import io.tansystack.wire.Cbor;
 import io.tansystack.workers.View;
@@ -89,7 +89,7 @@
             caller,
             loop,
             settings.state(),
-            new WriteBudget(share, Math.max(2, share), loop.now()),
+            new RateBudget(share, Math.max(2, share), loop.now()),
             random);
     this.world = new World(this::worldChanged);
     double watches = settings.store().rps() * 0.2 / size;
--- a/src/main/java/io/tansystack/cluster/World.java
+++ b/src/main/java/io/tansystack/cluster/World.java
@@ -42,6 +42,9 @@
   /** Who schedules a slot's jobs, or holds the fleet duty. */
   public record Holder(String label, String boot, long version) {}
 
+  /** What was asked of the cloud lately; read and written by who deals with it. */
+  public record Journal(ObjectNode value, long version) {}
+
   /** A machine's record. */
   public record MachineRecord(
       String name,
@@ -118,6 +121,7 @@
   private final Map<String, MachineRecord> machineIndex = new HashMap<>();
   private final Map<String, Long> teams = new HashMap<>();
   private Holder fleet;
+  private Journal rentals;
   private ObjectNode types;
   private final LinkedHashMap<String, JobRecord.Phase> finals = new LinkedHashMap<>();
   private final Map<String, Long> versions = new HashMap<>();
@@ -159,6 +163,7 @@
   }
 
   public static final String FLEET_KEY = PREFIX + "fleet";
+  public static final String RENTALS_KEY = PREFIX + "rentals";
   public static final String TYPES_KEY = PREFIX + "types";
 
   public static ObjectNode holder(String label, String boot) {
@@ -238,6 +243,7 @@
         }
       }
       case "fleet" -> fleet = readHolder(value, version);
+      case "rentals" -> rentals = value == null ? null : new Journal(value, version);
       case "types" -> types = value;
       case "teams" -> put(teams, key.substring(slash + 1), value == null ? null : version);
       case "machines" -> {
@@ -355,6 +361,11 @@
     return fleet;
   }
 
+  /** Null if nothing was ever rented. */
+  public Journal rentals() {
+    return rentals;
+  }
+
   public ObjectNode types() {
     return types;
   }
--- a/src/main/java/io/tansystack/fleet/Cloud.java
+++ b/src/main/java/io/tansystack/fleet/Cloud.java
@@ -3,33 +3,58 @@
 import io.tansystack.http.CborOutcome;
 import io.tansystack.http.HttpCaller;
 import io.tansystack.http.Loop;
+import io.tansystack.store.RateBudget;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 
-/** The cloud's client: calls are spaced so that its limit is kept. */
+/**
+ * The cloud's client. Its limit is kept by a budget that may be spent in a burst: what many machines
+ * are waited for is asked for at once, and a call spared while nothing was wanted is worth nothing.
+ */
 final class Cloud {
   private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
+  /** The cloud allows bursts worth two seconds; a part is left for who held the duty before. */
+  private static final double BURST_S = 1.5;
+
   private final HttpCaller caller;
   private final Loop loop;
   private final InetSocketAddress address;
-  private final Duration gap;
-  private Duration nextAt = Duration.ZERO;
+  private final RateBudget budget;
 
   Cloud(HttpCaller caller, Loop loop, InetSocketAddress address, double perSecond) {
     this.caller = caller;
     this.loop = loop;
     this.address = address;
-    this.gap = Duration.ofNanos((long) (1e9 / perSecond));
+    this.budget = new RateBudget(perSecond, Math.max(1, perSecond * BURST_S), loop.now());
+  }
+
+  /** Takes a call out of the budget; false if none may be made now. */
+  boolean take() {
+    return budget.take(1, true, loop.now());
   }
 
-  /** Whether a call may be made now. */
-  boolean free() {
-    return loop.now().compareTo(nextAt) >= 0;
+  /** How many calls may be made now. */
+  int available() {
+    return budget.available(loop.now());
   }
 
   void call(String method, String path, byte[] body, CborOutcome.Answer then) {
-    nextAt = loop.now().plus(gap);
-    caller.call(address, method, path, body, TIMEOUT, new CborOutcome("cloud", 0, then));
+    caller.call(
+        address,
+        method,
+        path,
+        body,
+        TIMEOUT,
+        new CborOutcome(
+            "cloud",
+            0,
+            (status, map) -> {
+              if (status == 429) {
+                // Others use the limit too.
+                budget.refused(loop.now(), Duration.ofMillis(500));
+              }
+              then.take(status, map);
+            }));
   }
 }
--- /dev/null
+++ b/src/main/java/io/tansystack/fleet/Returns.java
@@ -0,0 +1,146 @@
+package io.tansystack.fleet;
+
+import io.tansystack.cluster.World;
+import io.tansystack.cluster.World.MachineRecord;
+import io.tansystack.http.Loop;
+import io.tansystack.store.StoreClient;
+import io.tansystack.store.StoreClient.Result;
+import io.tansystack.wire.CloudWire;
+import io.tansystack.wire.StoreWire.Condition;
+import io.tansystack.wire.StoreWire.Write;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Empties machines and gives them back. A confirmed deletion is the proof that all on it is over. */
+final class Returns {
+  private static final Logger log = LoggerFactory.getLogger(Returns.class);
+  private static final int MAX_REMEMBERED = 2000;
+
+  private final Loop loop;
+  private final Cloud cloud;
+  private final StoreClient store;
+  private final World world;
+  private final Map<String, String> marked = new LinkedHashMap<>();
+  private final Set<String> returned = new LinkedHashSet<>();
+  private final Set<String> draining = new HashSet<>();
+  private Consumer<String> onReturned = name -> {};
+  private boolean calling;
+
+  Returns(Loop loop, Cloud cloud, StoreClient store, World world) {
+    this.loop = loop;
+    this.cloud = cloud;
+    this.store = store;
+    this.world = world;
+  }
+
+  /** Who is told of each machine that the cloud has confirmed as deleted. */
+  void onReturned(Consumer<String> listener) {
+    this.onReturned = listener;
+  }
+
+  /** Nothing that was decided before counts. */
+  void startAnew() {
+    marked.clear();
+    draining.clear();
+  }
+
+  /** The machine is to be deleted with the next call. */
+  void mark(String name, String why) {
+    if (!returned.contains(name) && marked.putIfAbsent(name, why) == null) {
+      log.info("return machine={} because={}", name, why);
+    }
+  }
+
+  boolean isMarked(String name) {
+    return marked.containsKey(name);
+  }
+
+  boolean isReturned(String name) {
+    return returned.contains(name);
+  }
+
+  /** Has the machine emptied; it is returned once nothing is recorded on it. */
+  void drain(MachineRecord record, String why) {
+    if (!draining.add(record.name())) {
+      return;
+    }
+    String key = World.machineKey(record.name());
+    store.commitUrgent(
+        List.of(new Condition(key, record.version())),
+        List.of(new Write(key, record.draining().write(), 0)),
+        Duration.ofSeconds(1),
+        (result, revision) -> {
+          log.info("drain machine={} result={} because={}", record.name(), result, why);
+          if (result != Result.DONE) {
+            loop.after(Duration.ofSeconds(1), () -> draining.remove(record.name()));
+          }
+        });
+  }
+
+  /** Deletes what is marked, as many as one call takes; one call at a time. */
+  void send() {
+    draining.retainAll(world.machines().keySet());
+    if (calling || marked.isEmpty() || !cloud.take()) {
+      return;
+    }
+    List<String> batch = new ArrayList<>();
+    for (String name : marked.keySet()) {
+      if (batch.size() < CloudWire.MAX_DELETE) {
+        batch.add(name);
+      }
+    }
+    calling = true;
+    cloud.call(
+        "POST",
+        "/machines/delete",
+        CloudWire.delete(batch),
+        (status, map) -> {
+          calling = false;
+          if (status != 200) {
+            log.info("deletion of {} machines not confirmed: {}", batch.size(), status);
+            return;
+          }
+          batch.forEach(this::confirmed);
+        });
+  }
+
+  private void confirmed(String name) {
+    marked.remove(name);
+    returned.add(name);
+    if (returned.size() > MAX_REMEMBERED) {
+      returned.remove(returned.iterator().next());
+    }
+    onReturned.accept(name);
+    if (world.machine(name) == null) {
+      return;
+    }
+    store.commitUrgent(
+        List.of(),
+        List.of(new Write(World.machineKey(name), null, 0)),
+        Duration.ofSeconds(3),
+        (result, revision) -> {
+          if (result == Result.DONE) {
+            log.info("gone machine={} because=the cloud confirmed its deletion", name);
+          } else {
+            // The deletion is a fact; it can be confirmed again and written then.
+            returned.remove(name);
+            loop.after(
+                Duration.ofMillis(500),
+                () -> {
+                  if (world.machine(name) != null) {
+                    mark(name, "its record is still to be removed");
+                  }
+                });
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/io/tansystack/fleet/Warmth.java
@@ -0,0 +1,156 @@
+package io.tansystack.fleet;
+
+import io.tansystack.cluster.World;
+import io.tansystack.cluster.World.Job;
+import io.tansystack.cluster.World.MachineRecord;
+import io.tansystack.schedule.Consolidation;
+import io.tansystack.schedule.Plan;
+import io.tansystack.schedule.Snapshot;
+import io.tansystack.settings.OperatorSettings;
+import io.tansystack.settings.PlatformSettings;
+import io.tansystack.settings.PlatformSettings.Objective;
+import io.tansystack.wire.JobSpec;
+import io.tansystack.wire.MachineType;
+import io.tansystack.wire.Priority;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Function;
+
+/**
+ * How long machines are kept that nothing runs on, and which are emptied because their replicas fit
+ * elsewhere.
+ */
+final class Warmth {
+  private static final Duration SETTLE = Duration.ofSeconds(15);
+  private static final double MAX_KEEP = 12;
+  private static final Duration EXPECTED = Duration.ofSeconds(120);
+  private static final Duration FOREVER = Duration.ofDays(10_000);
+
+  /** The latest job of a class, and when it was first seen here. */
+  private record Arrival(JobSpec spec, long submittedMs, Duration at) {}
+
+  private final World world;
+  private final Function<String, MachineType> types;
+  private final PlatformSettings settings;
+  private final OperatorSettings operator;
+  private final Returns returns;
+  private final Map<String, Arrival> arrivals = new HashMap<>();
+  private final Map<String, Duration> idleSince = new HashMap<>();
+  private Duration heldSince = Duration.ZERO;
+  private Duration lastBusy = Duration.ZERO;
+
+  Warmth(
+      World world,
+      Function<String, MachineType> types,
+      PlatformSettings settings,
+      OperatorSettings operator,
+      Returns returns) {
+    this.world = world;
+    this.types = types;
+    this.settings = settings;
+    this.operator = operator;
+    this.returns = returns;
+  }
+
+  void startAnew(Duration now) {
+    heldSince = now;
+    idleSince.clear();
+  }
+
+  /** Machines are kept warm for classes of which jobs still come, not for those of an hour ago. */
+  void noteArrivals(Duration now) {
+    for (Job job : world.jobs().values()) {
+      JobSpec spec = job.record().spec();
+      long at = job.record().submittedMs();
+      Arrival known = arrivals.get(spec.jobClass());
+      if (known == null || at > known.submittedMs) {
+        arrivals.put(spec.jobClass(), new Arrival(spec, at, now));
+      }
+    }
+  }
+
+  /** Has machines emptied that were idle for long, and returned those that are empty. */
+  void judge(Duration now) {
+    for (MachineRecord record : world.machines().values()) {
+      String name = record.name();
+      if (!world.placedOn(name).isEmpty()) {
+        idleSince.remove(name);
+      } else if (record.drain()) {
+        returns.mark(name, "drained");
+      } else {
+        Duration since = idleSince.computeIfAbsent(name, n -> now);
+        if (now.minus(since).compareTo(keepIdle(record, now)) > 0) {
+          returns.drain(record, "idle");
+        }
+      }
+    }
+    idleSince.keySet().retainAll(world.machines().keySet());
+  }
+
+  /**
+   * How long an idle machine is kept: longer where starts are expected sooner than a new machine
+   * could be up, up to twelve times.
+   */
+  private Duration keepIdle(MachineRecord record, Duration now) {
+    double factor = keepFactor(types.apply(record.type()), EXPECTED, now);
+    return Duration.ofMillis((long) (operator.idleReturn().toMillis() * factor));
+  }
+
+  /** @param lately only classes of which a job has come within this time count */
+  private double keepFactor(MachineType type, Duration lately, Duration now) {
+    if (type == null) {
+      return 1;
+    }
+    double factor = 1;
+    for (Objective aim : settings.objectives()) {
+      Arrival latest = aim.jobClass() == null ? null : arrivals.get(aim.jobClass());
+      if (!aim.kind().equals("wait")
+          || latest == null
+          || now.minus(latest.at).compareTo(lately) > 0
+          || !latest.spec.allowsType(type.name())) {
+        continue;
+      }
+      JobSpec spec = latest.spec;
+      if (type.fits(spec) && (type.gpus() <= 0 || spec.gpus() > 0)) {
+        double within = Math.max(0.1, aim.within().toNanos() / 1e9);
+        factor = Math.max(factor, Math.min(MAX_KEEP, type.bootS() / within));
+      }
+    }
+    return factor;
+  }
+
+  /**
+   * Empties one machine at a time whose replicas fit elsewhere. Not while work lacks room, and not
+   * where starts are due sooner than a machine boots by far: there every machine is wanted warm.
+   *
+   * @param overdue what is rented may not come for long: nothing that runs is given back meanwhile
+   */
+  void consolidate(Duration now, Snapshot snapshot, Plan plan, boolean overdue) {
+    boolean busy =
+        overdue || plan.unmet().stream().anyMatch(u -> u.spec().priority() != Priority.LOW);
+    if (busy || now.minus(heldSince).compareTo(SETTLE) < 0) {
+      lastBusy = now;
+      return;
+    }
+    if (now.minus(lastBusy).compareTo(operator.consolidateAfter()) < 0) {
+      return;
+    }
+    for (MachineRecord record : world.machines().values()) {
+      if (record.drain()) {
+        return;
+      }
+    }
+    lastBusy = now; // Whatever comes of it, the next look is a while later: it goes through everything.
+    String name =
+        Consolidation.pick(
+            snapshot,
+            // Machines that are wanted warm when jobs come are not worth moving replicas about.
+            machine -> keepFactor(machine.type(), FOREVER, now) < MAX_KEEP,
+            operator.spareReplicas());
+    MachineRecord record = name == null ? null : world.machine(name);
+    if (record != null) {
+      returns.drain(record, "its replicas fit elsewhere");
+    }
+  }
+}
--- a/src/main/java/io/tansystack/schedule/RentPlanner.java
+++ b/src/main/java/io/tansystack/schedule/RentPlanner.java
@@ -4,10 +4,12 @@
 import io.tansystack.settings.OperatorSettings;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.MachineType;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 
 /**
@@ -20,14 +22,12 @@
 
   private static final class Bin {
     final Kind kind;
-    final boolean rented;
     double cpus;
     double gpus;
     double mem;
 
-    Bin(Kind kind, MachineType type, boolean rented) {
+    Bin(Kind kind, MachineType type) {
       this.kind = kind;
-      this.rented = rented;
       cpus = type.cpus();
       gpus = type.gpus();
       mem = type.memGb();
@@ -47,68 +47,80 @@
   private RentPlanner() {}
 
   /**
-   * @param booting machines rented and not yet of use
+   * @param coming machines rented and not yet of use
    * @param blocked kinds that were lately refused
    */
   public static Map<Kind, Integer> decide(
       List<Unmet> unmet,
-      List<Kind> booting,
+      List<Kind> coming,
       Map<String, MachineType> types,
       Predicate<Kind> blocked,
-      OperatorSettings settings,
-      int maxNew) {
-    List<Bin> bins = new ArrayList<>();
-    for (Kind kind : booting) {
+      OperatorSettings settings) {
+    Map<String, List<Bin>> bins = new TreeMap<>();
+    for (Kind kind : coming) {
       MachineType type = types.get(kind.type());
       if (type != null) {
-        bins.add(new Bin(kind, type, false));
+        open(bins, new Bin(kind, type));
       }
     }
-    int opened = 0;
+    Map<Kind, Integer> rent = new LinkedHashMap<>();
     for (Unmet need : unmet) {
       JobSpec spec = need.spec();
       Map<String, Integer> zones = new LinkedHashMap<>();
-      int from = 0;
+      Object2IntOpenHashMap<String> next = new Object2IntOpenHashMap<>();
       for (int i = 0; i < need.tasks(); i++) {
-        Bin bin = null;
-        for (int b = spec.scatter() || spec.sameZone() ? 0 : from; b < bins.size(); b++) {
-          Bin candidate = bins.get(b);
-          from = b;
-          if (allowed(spec, candidate.kind, zones) && candidate.take(spec)) {
-            bin = candidate;
-            break;
-          }
-        }
+        Bin bin = firstFitting(spec, bins, zones, next);
         if (bin == null) {
-          if (opened >= maxNew) {
-            break;
-          }
           Kind kind = cheapest(spec, need.tasks() - i, types, zones, blocked, settings);
           if (kind == null) {
             break;
           }
-          bin = new Bin(kind, types.get(kind.type()), true);
+          bin = new Bin(kind, types.get(kind.type()));
           bin.take(spec);
-          bins.add(bin);
-          from = bins.size() - 1;
-          opened++;
+          open(bins, bin);
+          rent.merge(kind, 1, Integer::sum);
         }
         zones.merge(bin.kind.zone(), 1, Integer::sum);
       }
     }
-    Map<Kind, Integer> rent = new LinkedHashMap<>();
-    for (Bin bin : bins) {
-      if (bin.rented) {
-        rent.merge(bin.kind, 1, Integer::sum);
+    return rent;
+  }
+
+  private static void open(Map<String, List<Bin>> bins, Bin bin) {
+    bins.computeIfAbsent(bin.kind.zone(), k -> new ArrayList<>()).add(bin);
+  }
+
+  /** What a task doesn't fit into is passed over for the rest of its job: bins only fill up. */
+  private static Bin firstFitting(
+      JobSpec spec,
+      Map<String, List<Bin>> bins,
+      Map<String, Integer> zones,
+      Object2IntOpenHashMap<String> next) {
+    for (Map.Entry<String, List<Bin>> zone : bins.entrySet()) {
+      if (!zoneAllowed(spec, zone.getKey(), zones)) {
+        continue;
       }
+      List<Bin> there = zone.getValue();
+      for (int b = next.getInt(zone.getKey()); b < there.size(); b++) {
+        Bin bin = there.get(b);
+        if (spec.allows(bin.kind.type(), bin.kind.zone(), bin.kind.spot()) && bin.take(spec)) {
+          next.put(zone.getKey(), b);
+          return bin;
+        }
+      }
+      next.put(zone.getKey(), there.size());
     }
-    return rent;
+    return null;
   }
 
   private static boolean allowed(JobSpec spec, Kind kind, Map<String, Integer> zones) {
     return spec.allows(kind.type(), kind.zone(), kind.spot())
-        && zones.getOrDefault(kind.zone(), 0) < spec.zoneCap()
-        && !(spec.sameZone() && !zones.isEmpty() && !zones.containsKey(kind.zone()));
+        && zoneAllowed(spec, kind.zone(), zones);
+  }
+
+  private static boolean zoneAllowed(JobSpec spec, String zone, Map<String, Integer> zones) {
+    return zones.getOrDefault(zone, 0) < spec.zoneCap()
+        && !(spec.sameZone() && !zones.isEmpty() && !zones.containsKey(zone));
   }
 
   private static Kind cheapest(
--- a/src/main/java/io/tansystack/settings/OperatorSettings.java
+++ b/src/main/java/io/tansystack/settings/OperatorSettings.java
@@ -13,8 +13,7 @@
     Duration silentDelete,
     Duration refusedPause,
     Duration consolidateAfter,
-    int spareReplicas,
-    int maxRentAtOnce) {
+    int spareReplicas) {
 
   public static OperatorSettings defaults() {
     try {
@@ -43,8 +42,7 @@
         machines.secondsOr("silent_delete_s", 13, 5, 86_400),
         rent.secondsOr("refused_pause_s", 10, 1, 3600),
         machines.secondsOr("consolidate_after_s", 5, 0.1, 86_400),
-        machines.integerOr("spare_replicas", 3, 0, 10_000),
-        rent.integerOr("max_at_once", 12, 1, 50));
+        machines.integerOr("spare_replicas", 3, 0, 10_000));
   }
 
   /** How many times the cheapest price for a task may be paid to run it now. */
--- a/src/main/java/io/tansystack/store/WriteBudget.java
+++ b/src/main/java/io/tansystack/store/RateBudget.java
@@ -3,10 +3,11 @@
 import java.time.Duration;
 
 /**
- * This controller's part of the state service's write limit, as a token bucket. Urgent writes
- * (submissions, cancellations, claims) may empty it; others leave a reserve for them.
+ * A part of another service's limit, as a token bucket: this controller's of the state service's
+ * writes, or the cloud's calls. What is urgent (submissions, cancellations, claims) may empty it;
+ * the rest leaves a reserve for that.
  */
-public final class WriteBudget {
+public final class RateBudget {
   private double perSecond;
   private double burst;
   private double reserve;
@@ -14,7 +15,7 @@
   private Duration at;
   private Duration blockedUntil = Duration.ZERO;
 
-  public WriteBudget(double perSecond, double burst, Duration now) {
+  public RateBudget(double perSecond, double burst, Duration now) {
     this.at = now;
     rate(perSecond, burst, now);
     this.level = burst;
@@ -36,16 +37,22 @@
     }
   }
 
-  /** Takes tokens for the writes of one transaction, or nothing at all. */
-  public boolean take(int writes, boolean urgent, Duration now) {
+  /** Takes tokens for so many writes or calls, or nothing at all. */
+  public boolean take(int count, boolean urgent, Duration now) {
     refill(now);
     if (now.compareTo(blockedUntil) < 0 || level < (urgent ? 1 : 1 + reserve)) {
       return false;
     }
-    level -= writes;
+    level -= count;
     return true;
   }
 
+  /** How many could be taken now by who is urgent. */
+  public int available(Duration now) {
+    refill(now);
+    return now.compareTo(blockedUntil) < 0 ? 0 : Math.max(0, (int) level);
+  }
+
   /** The service said 429: others are using its limit, so this controller pauses. */
   public void refused(Duration now, Duration pause) {
     refill(now);
--- a/src/main/java/io/tansystack/store/StoreClient.java
+++ b/src/main/java/io/tansystack/store/StoreClient.java
@@ -57,14 +57,14 @@
   private final HttpCaller caller;
   private final Loop loop;
   private final InetSocketAddress address;
-  private final WriteBudget budget;
+  private final RateBudget budget;
   private final Random random;
   private final ArrayDeque<Queued> urgent = new ArrayDeque<>();
   private boolean draining;
   private Duration lastSuccess;
 
   public StoreClient(
-      HttpCaller caller, Loop loop, InetSocketAddress address, WriteBudget budget, Random random) {
+      HttpCaller caller, Loop loop, InetSocketAddress address, RateBudget budget, Random random) {
     this.caller = caller;
     this.loop = loop;
     this.address = address;
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -13,7 +13,7 @@
 import io.tansystack.schedule.MachineHistory;
 import io.tansystack.store.StoreClient;
 import io.tansystack.store.StoreClient.Result;
-import io.tansystack.store.WriteBudget;
+import io.tansystack.store.RateBudget;
 import io.tansystack.wire.Addresses;
 import io.tansystack.wire.Answers;
 import io.tansystack.wire.BadInput;
@@ -160,7 +160,7 @@
   private final Map<String, SentAway> sentAway = new HashMap<>();
 
   /** Claims may use a part of the write limit only: after a crash every machine asks at once. */
-  private final WriteBudget claimPace;
+  private final RateBudget claimPace;
 
   public WorkerDesk(
       Loop loop,
@@ -187,7 +187,7 @@
     this.zone = zone;
     this.workerLease = workerLease;
     this.claimPace =
-        new WriteBudget(
+        new RateBudget(
             writesPerSecond * CLAIM_SHARE, Math.max(2, writesPerSecond * CLAIM_SHARE * 2), loop.now());
     this.unfit = unfit;
     this.types = types;
--- a/src/test/java/io/tansystack/schedule/PlannerTest.java
+++ b/src/test/java/io/tansystack/schedule/PlannerTest.java
@@ -270,16 +270,16 @@
     Map<String, MachineType> types = Map.of("small", SMALL, "accel", ACCEL);
     RentPlanner.Kind small = new RentPlanner.Kind("small", "a", false);
     Map<RentPlanner.Kind, Integer> rent =
-        RentPlanner.decide(unmet, List.of(), types, k -> false, OperatorSettings.defaults(), 10);
+        RentPlanner.decide(unmet, List.of(), types, k -> false, OperatorSettings.defaults());
     assertEquals(2, rent.values().stream().mapToInt(i -> i).sum());
     assertTrue(rent.keySet().stream().allMatch(k -> k.type().equals("small")));
     rent =
         RentPlanner.decide(
-            unmet, List.of(small, small), types, k -> false, OperatorSettings.defaults(), 10);
+            unmet, List.of(small, small), types, k -> false, OperatorSettings.defaults());
     assertTrue(rent.isEmpty());
     rent =
         RentPlanner.decide(
-            unmet, List.of(), types, k -> k.type().equals("small"), OperatorSettings.defaults(), 10);
+            unmet, List.of(), types, k -> k.type().equals("small"), OperatorSettings.defaults());
     assertEquals(Set.of("accel"), rent.keySet().stream().map(RentPlanner.Kind::type)
         .collect(Collectors.toSet()));
   }
--- a/src/test/java/io/tansystack/sim/SimLoop.java
+++ b/src/test/java/io/tansystack/sim/SimLoop.java
@@ -6,7 +6,7 @@
 import java.util.PriorityQueue;
 
 /** Simulated time: events run in the order of their moments, and of their making. */
-final class SimLoop implements Loop {
+public final class SimLoop implements Loop {
   private static final class Event implements Timer {
     final Duration at;
     final long order;
@@ -47,7 +47,7 @@
     after(Duration.ZERO, task);
   }
 
-  void runFor(Duration time) {
+  public void runFor(Duration time) {
     Duration end = now.plus(time);
     while (!events.isEmpty() && events.peek().at.compareTo(end) <= 0) {
       Event event = events.poll();
--- a/src/test/java/io/tansystack/store/WriteBudgetTest.java
+++ b/src/test/java/io/tansystack/store/RateBudgetTest.java
@@ -7,10 +7,10 @@
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
 
-class WriteBudgetTest {
+class RateBudgetTest {
   @Test
   void ordinaryWritesLeaveAReserveForUrgentOnes() {
-    WriteBudget budget = new WriteBudget(10, 10, Duration.ZERO);
+    RateBudget budget = new RateBudget(10, 10, Duration.ZERO);
     int ordinary = 0;
     while (budget.take(1, false, Duration.ZERO)) {
       ordinary++;
@@ -25,7 +25,7 @@
 
   @Test
   void neverMoreThanTheRateOverTime() {
-    WriteBudget budget = new WriteBudget(10, 10, Duration.ZERO);
+    RateBudget budget = new RateBudget(10, 10, Duration.ZERO);
     int taken = 0;
     for (int ms = 0; ms <= 5000; ms += 7) {
       if (budget.take(1, true, Duration.ofMillis(ms))) {
@@ -37,7 +37,7 @@
 
   @Test
   void aRefusalByTheServicePausesAllWrites() {
-    WriteBudget budget = new WriteBudget(10, 10, Duration.ZERO);
+    RateBudget budget = new RateBudget(10, 10, Duration.ZERO);
     budget.refused(Duration.ofSeconds(1), Duration.ofMillis(200));
     assertFalse(budget.take(1, true, Duration.ofMillis(1150)));
     assertTrue(budget.take(1, true, Duration.ofMillis(1250)));
