A machine that comes back while its owner declares it gone starts nothing under the old record

A controller back from a cut asked for the deletion of the records of workers whose leases had run out. The transaction waited for its turn while the worker came back in its next session, was answered and given a task; then the record went, and its tasks counted as gone with it.

Change: from the request on, the machine is not answered under that record. If it comes back, it is claimed anew, which voids a deletion still under way. After a cut of its own, a controller first gives its workers 10 s to come back. A machine whose record went is not returned at once as one that never reported.

--- a/src/main/java/io/tansystack/fleet/Inventory.java
+++ b/src/main/java/io/tansystack/fleet/Inventory.java
@@ -36,6 +36,10 @@
     final Duration since;
     Status status = Status.BOOTING;
     Duration runningSince;
+
+    /** When it last had a record: one declared gone by its owner may come back in its next session. */
+    Duration ownedAt = Duration.ZERO;
+
     Duration listedAt;
     boolean rentedHere;
     boolean cameUp;
@@ -219,7 +223,10 @@
       }
       if (world.machine(entry.getKey()) == null) {
         boots.count(k.kind.type(), k.statedBootS, k.ageS(now));
-      } else if (!k.cameUp) {
+        continue;
+      }
+      k.ownedAt = now;
+      if (!k.cameUp) {
         k.cameUp = true;
         if (k.rentedHere) {
           boots.cameUp(k.kind.type(), k.ageS(now));
@@ -232,7 +239,8 @@
         continue;
       }
       if (k.runningSince != null) {
-        if (now.minus(k.runningSince).compareTo(UNCLAIMED) > 0) {
+        boolean owned = k.ownedAt.compareTo(k.runningSince) > 0;
+        if (now.minus(owned ? k.ownedAt : k.runningSince).compareTo(UNCLAIMED) > 0) {
           returns.mark(entry.getKey(), "it runs and never reported");
         }
       } else if (boots.hopeless(k.kind.type(), k.statedBootS, k.ageS(now))) {
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -55,7 +55,11 @@
   private static final Duration ORDERS_TIMEOUT = Duration.ofSeconds(4);
   private static final Duration CLAIM_WAIT = Duration.ofMillis(3500);
   private static final Duration HALT_AGAIN = Duration.ofSeconds(5);
-  private static final Duration COMES_BACK = Duration.ofSeconds(20);
+  private static final Duration SENT_BACK = Duration.ofSeconds(20);
+
+  /** Workers try one controller after the other, and each report has 4 s. */
+  private static final Duration COME_BACK = Duration.ofSeconds(10);
+
   private static final Duration FORGET_WAIT = Duration.ofSeconds(6);
   private static final int MANY_FORGETS = 40;
   private static final Duration SILENT = Duration.ofSeconds(7);
@@ -103,6 +107,13 @@
     /** Forgetting alone is not worth a request of its own before this. */
     Duration forgetAt = Duration.ZERO;
 
+    /**
+     * The record's version that its deletion names, while that may still be applied. The worker may
+     * come back meanwhile, in its next session: it must have another record before anything starts
+     * on it, or what starts would count as gone with the old one.
+     */
+    long goneVersion = -1;
+
     boolean ordersInFlight;
     long doubtfulToken = -1;
     boolean claiming;
@@ -253,6 +264,14 @@
     }
     Duration now = loop.now();
     Machine machine = machine(record, now);
+    if (machine.goneVersion == record.version()) {
+      if (machine.claiming) {
+        reply.send(503, Cbor.encode(Answers.error("it is being declared gone")));
+      } else {
+        claimInTurn(record, report, reply);
+      }
+      return;
+    }
     machine.answeredAt = now;
     if (machine.answerToken != token) {
       machine.answerToken = token;
@@ -327,7 +346,7 @@
     }
     if (to != null) {
       SentAway before = sentAway.get(report.machine());
-      boolean recent = before != null && now.minus(before.at).compareTo(COMES_BACK) < 0;
+      boolean recent = before != null && now.minus(before.at).compareTo(SENT_BACK) < 0;
       int times = recent ? before.times + 1 : 1;
       if (times <= 2) {
         if (sentAway.size() >= MAX_SENT_AWAY) {
@@ -338,7 +357,11 @@
         return;
       }
     }
-    if (!claims.containsKey(report.machine()) && !claimPace.take(1, true, now)) {
+    claimInTurn(record, report, reply);
+  }
+
+  private void claimInTurn(MachineRecord record, Report report, Reply reply) {
+    if (!claims.containsKey(report.machine()) && !claimPace.take(1, true, loop.now())) {
       // Its former owner may be back before its turn comes, and then nobody need claim it.
       reply.send(503, Cbor.encode(Answers.error("too many machines to claim")));
       return;
@@ -508,7 +531,8 @@
   /**
    * The worker's lease has run out for certain: it counts from when the last answered report was
    * sent, which was before we received it. Until a worker has shown our token, its former owner may
-   * have gone on answering for as long as that one could be valid.
+   * have gone on answering for as long as that one could be valid. One that was cut off itself waits
+   * for its workers to come back first: their next session proves as much without a write for each.
    */
   private void declareGone(Machine machine) {
     MachineRecord record = world.machine(machine.name);
@@ -521,10 +545,12 @@
       from = machine.formerOwnerUntil;
     }
     Duration sure = from.plus(workerLease).plus(workerLease.dividedBy(500)).plusSeconds(1);
-    if (loop.now().compareTo(sure) < 0) {
+    Duration now = loop.now();
+    if (now.compareTo(sure) < 0 || now.minus(listeningSince).compareTo(COME_BACK) < 0) {
       return;
     }
     machine.claiming = true;
+    machine.goneVersion = record.version();
     String key = World.machineKey(machine.name);
     store.commitUrgent(
         // The second condition voids what an earlier start of this process may still have under way:
@@ -536,6 +562,9 @@
         Duration.ofSeconds(2),
         (result, revision) -> {
           machine.claiming = false;
+          if (result == Result.REFUSED || result == Result.CONFLICT) {
+            machine.goneVersion = -1; // It was not applied and won't be.
+          }
           if (result == Result.DONE) {
             log.warn(
                 "gone machine={} token={} because=its lease has run out unanswered",
@@ -558,6 +587,10 @@
     }
     Duration now = loop.now();
     long token = world.token(record);
+    if (machine.goneVersion == record.version()) {
+      tell(machine, record, List.of(), now);
+      return;
+    }
     if (machine.doubtfulToken == token) {
       if (!machine.claiming && now.compareTo(machine.quietUntil) >= 0) {
         reclaim(machine, record);
--- a/src/test/java/io/tansystack/sim/ClusterTest.java
+++ b/src/test/java/io/tansystack/sim/ClusterTest.java
@@ -60,9 +60,15 @@
   /** Whether connections between controllers are refused while all else works. */
   private boolean peersRefuse;
 
-  /** The controller that workers can't reach; -1 for none. */
+  /** The controller cut off from the workers, both ways; -1 for none. */
   private int deafTo = -1;
 
+  /** Workers that no controller hears. */
+  private final Set<String> unheard = new HashSet<>();
+
+  /** For how long transactions that delete a machine's record are held up on their way. */
+  private Duration deletionsLate = Duration.ZERO;
+
   /** How often an exchange goes wrong. */
   private double trouble;
 
@@ -135,7 +141,9 @@
         });
         return;
       }
-      if (silent.contains(index) || (silent.contains(peer) && !to.equals(CLOUD))) {
+      if (silent.contains(index)
+          || (silent.contains(peer) && !to.equals(CLOUD))
+          || (index == deafTo && to.getPort() >= 9000)) {
         return;
       }
       boolean late = random.nextDouble() < trouble;
@@ -163,7 +171,10 @@
       BiConsumer<Integer, byte[]> back) {
     BiConsumer<Integer, ObjectNode> reply = (status, map) -> back.accept(status, Cbor.encode(map));
     if (to.equals(STORE)) {
-      store.handle(method, path, decode(body), reply);
+      boolean deletes = path.equals("/commit") && decode(body).toString().contains("\"Delete\":\"ts/machines/");
+      loop.after(
+          deletes ? deletionsLate : Duration.ZERO,
+          () -> store.handle(method, path, decode(body), reply));
     } else if (to.equals(CLOUD)) {
       cloud(path, decode(body), reply);
     } else if (to.getPort() >= 9000) {
@@ -261,6 +272,7 @@
     if (controller == null
         || silent.contains(worker.target)
         || deafTo == worker.target
+        || unheard.contains(worker.name)
         || random.nextDouble() < trouble) {
       return;
     }
@@ -526,6 +538,31 @@
     assertEquals(100, started.size(), "nothing was lost and nothing ran twice");
   }
 
+  /**
+   * Workers are not heard for longer than their leases, and come back while the deletion of their
+   * records is still on its way. What starts on them then must not count as gone with these records.
+   * After a cut-off controller's return on the fleet site's day "zone", tasks ran on two machines.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 4, 5, 6, 8, 11})
+  void whoComesBackWhileDeclaredGoneStartsNothingTwice(int late) throws Exception {
+    boot(0);
+    loop.runFor(Duration.ofSeconds(12));
+    submit("wk-000001", 60);
+    loop.runFor(Duration.ofSeconds(15));
+    deafTo = 0;
+    deletionsLate = Duration.ofSeconds(late);
+    loop.runFor(Duration.ofSeconds(38));
+    deafTo = -1;
+    // Some are heard again later: what ran elsewhere by then would go there a second time.
+    unheard.addAll(List.of("n-000000", "n-000001", "n-000002", "n-000003"));
+    loop.runFor(Duration.ofSeconds(4));
+    unheard.clear();
+    loop.runFor(Duration.ofSeconds(200));
+    assertEquals(Set.of(), broken);
+    assertEquals("done", state("wk-000001"));
+  }
+
   /** A packet filter between controllers that are all well: they must not go on taking each other's. */
   @Test
   void refusedConnectionsBetweenControllersMakeNoStormOfClaims() throws Exception {
