Jobs that can still meet their deadline go before those that can't

Change: schedule.Deadlines counts how many of the aims for its deadline a job can't meet any more; among jobs of the same standing the fewest go first. After five times its deadline a job goes by arrival again.

--- a/src/main/java/io/tansystack/jobs/JobDuty.java
+++ b/src/main/java/io/tansystack/jobs/JobDuty.java
@@ -7,6 +7,7 @@
 import io.tansystack.cluster.World.Job;
 import io.tansystack.cluster.World.MachineRecord;
 import io.tansystack.http.Loop;
+import io.tansystack.schedule.Deadlines;
 import io.tansystack.schedule.Plan;
 import io.tansystack.schedule.Planner;
 import io.tansystack.schedule.Snapshot;
@@ -92,6 +93,7 @@
   /** How long a job waits for others to end by themselves before it has them stopped. */
   private final Map<String, Long> patienceMs = new HashMap<>();
 
+  private final Deadlines deadlines;
   private final Map<String, Team> teams = new HashMap<>();
   private final Map<String, Pending> pending = new HashMap<>();
   private final Map<String, Duration> lastWrite = new HashMap<>();
@@ -141,6 +143,7 @@
         patienceMs.put(aim.jobClass(), Math.min(2000, aim.within().toMillis() * 2 / 5));
       }
     }
+    this.deadlines = new Deadlines(settings.objectives());
     this.loop = loop;
     this.store = store;
     this.world = world;
@@ -355,7 +358,14 @@
               && record.done().isEmpty()
               && record.spec().shape() != Shape.SERVICE;
       jobs.add(
-          new JobState(id, record, waiting, impatient, suspected, failures.avoid(id, now)));
+          new JobState(
+              id,
+              record,
+              waiting,
+              impatient,
+              suspected,
+              record.active() ? deadlines.missed(record, wallMs) : 0,
+              failures.avoid(id, now)));
     }
     return new Snapshot(machines, booting.get(), jobs, teams);
   }
--- a/src/main/java/io/tansystack/schedule/Snapshot.java
+++ b/src/main/java/io/tansystack/schedule/Snapshot.java
@@ -56,6 +56,7 @@
    * @param impatient whether it has waited long enough to have others stopped for it
    * @param suspected whether the job itself seems to be at fault: one task at a time is tried where
    *     there is room, and nothing is stopped, kept or rented for it
+   * @param late how many of its deadline's aims it can't meet any more
    * @param avoid machines where it lately failed or was refused
    */
   public record JobState(
@@ -64,5 +65,6 @@
       boolean waiting,
       boolean impatient,
       boolean suspected,
+      int late,
       Set<String> avoid) {}
 }
--- a/src/main/java/io/tansystack/schedule/Turns.java
+++ b/src/main/java/io/tansystack/schedule/Turns.java
@@ -13,7 +13,8 @@
  * Whose turn it is among jobs of the same standing: by arrival, but an array lets others go first by
  * as long as the rest of it would keep a part of the cluster busy. Where there is too little room for
  * all, one huge array would otherwise keep everybody behind it waiting until nobody is in time; and
- * what waits for long still gets its turn, since arrivals go on and its handicap does not grow.
+ * what waits for long still gets its turn, since arrivals go on and its handicap does not grow. Jobs
+ * that can still be in time go before those that can't ({@link Deadlines}).
  */
 final class Turns {
   private static final double PART = 0.05;
@@ -35,7 +36,10 @@
     for (JobState job : byArrival) {
       turns.add(new Turn(job.record().submittedMs() + handicapMs(job), job));
     }
-    turns.sort(Comparator.comparingDouble(Turn::at).thenComparing(turn -> turn.job.id()));
+    turns.sort(
+        Comparator.comparingInt((Turn turn) -> turn.job.late())
+            .thenComparingDouble(Turn::at)
+            .thenComparing(turn -> turn.job.id()));
     return turns.stream().map(Turn::job).toList();
   }
 
--- a/src/main/java/io/tansystack/settings/PlatformSettings.java
+++ b/src/main/java/io/tansystack/settings/PlatformSettings.java
@@ -32,8 +32,12 @@
   /** A team's guarantee and limit; 0 stands for none. */
   public record Team(String name, double cpus, double gpus, double cpusMax, double gpusMax) {}
 
-  /** An aim; {@code jobClass} may be null, {@code within} zero where it does not apply. */
-  public record Objective(String kind, String jobClass, Duration within, double share) {}
+  /**
+   * An aim; {@code jobClass} may be null, {@code within} zero where it does not apply. {@code times}
+   * is the multiple of their deadline that jobs are measured by.
+   */
+  public record Objective(
+      String kind, String jobClass, Duration within, double share, double times) {}
 
   /** What the workers keep to. */
   public record Workers(
@@ -80,7 +84,8 @@
               objective.text("kind"),
               objective.textOr("class", null),
               objective.secondsOr("within_s", 0, 0, HUGE),
-              objective.numberOr("share", 0, 0, 1)));
+              objective.numberOr("share", 0, 0, 1),
+              objective.numberOr("times", 1, 0, HUGE)));
     }
     TomlTable workers = cluster.table("workers");
     TomlTable state = cluster.table("state");
--- a/src/test/java/io/tansystack/schedule/PlannerTest.java
+++ b/src/test/java/io/tansystack/schedule/PlannerTest.java
@@ -11,11 +11,13 @@
 import io.tansystack.schedule.Snapshot.JobState;
 import io.tansystack.schedule.Snapshot.MachineState;
 import io.tansystack.settings.OperatorSettings;
+import io.tansystack.settings.PlatformSettings.Objective;
 import io.tansystack.settings.PlatformSettings.Team;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.MachineType;
 import io.tansystack.wire.Priority;
 import io.tansystack.wire.Shape;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -64,7 +66,7 @@
     if (placed.length > 0) {
       record = record.placed(List.of(placed));
     }
-    JobState state = new JobState(spec.id(), record, true, true, false, Set.of());
+    JobState state = new JobState(spec.id(), record, true, true, false, 0, Set.of());
     jobs.add(state);
     return state;
   }
@@ -137,7 +139,7 @@
     JobState gang = job(spec("wk-1", Shape.GANG, Priority.NORMAL, 1, 4, 0, false, false), 0,
         new Assignment("a0", 1, TaskSet.range(0, 1)));
     jobs.clear();
-    jobs.add(new JobState("wk-1", gang.record().allStopped(), true, true, false, Set.of()));
+    jobs.add(new JobState("wk-1", gang.record().allStopped(), true, true, false, 0, Set.of()));
     assertEquals(0, placed(plan(), "wk-1"));
   }
 
@@ -182,10 +184,47 @@
     job(spec("wk-1", Shape.ARRAY, Priority.LOW, 4, 1, 0, false, false), 0,
         new Assignment("a0", 1, TaskSet.range(0, 4)));
     JobSpec spec = spec("wk-2", Shape.ARRAY, Priority.HIGH, 1, 1, 0, false, false);
-    jobs.add(new JobState("wk-2", JobRecord.created(spec, 1), true, false, false, Set.of()));
+    jobs.add(new JobState("wk-2", JobRecord.created(spec, 1), true, false, false, 0, Set.of()));
     assertTrue(plan().stops().isEmpty());
   }
 
+  /**
+   * Deadline 100 s, estimate 20 s, aims at once and one and a half times the deadline: how many are
+   * missed at an age, by a job that has not begun and by one that has.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "0,0,0", "69,0,0", "71,1,0", "81,1,1", "119,1,1", "121,2,1", "131,2,2", "499,2,2", "501,0,0"
+  })
+  void whatCanNotBeInTimeLetsOthersGoFirst(int ageS, int unbegun, int begun) {
+    JobSpec spec =
+        new JobSpec(
+            "wk-1", "c", "t", Shape.ARRAY, Priority.LOW, 4, 1, 0, 1, "img", 2, null, null, false,
+            false, false, 20, 0, 0, 100.0);
+    Deadlines deadlines =
+        new Deadlines(
+            List.of(
+                new Objective("deadline", "c", Duration.ZERO, 0.8, 1.5),
+                new Objective("deadline", "c", Duration.ZERO, 0.5, 1),
+                new Objective("deadline", "other", Duration.ZERO, 0.5, 0.1)));
+    JobRecord record = JobRecord.created(spec, 7000);
+    JobRecord partly = record.placed(List.of(new Assignment("m", 1, TaskSet.range(0, 1))));
+    assertEquals(unbegun, deadlines.missed(record, 7000 + ageS * 1000L));
+    assertEquals(begun, deadlines.missed(partly, 7000 + ageS * 1000L));
+  }
+
+  @Test
+  void lateJobsGoLast() {
+    machine("m", SMALL, "a");
+    JobSpec late = spec("wk-1", Shape.ARRAY, Priority.LOW, 4, 1, 0, false, false);
+    JobSpec inTime = spec("wk-2", Shape.ARRAY, Priority.LOW, 4, 1, 0, false, false);
+    jobs.add(new JobState("wk-1", JobRecord.created(late, 0), true, true, false, 1, Set.of()));
+    jobs.add(new JobState("wk-2", JobRecord.created(inTime, 1), true, true, false, 0, Set.of()));
+    Plan plan = plan();
+    assertEquals(4, placed(plan, "wk-2"));
+    assertEquals(0, placed(plan, "wk-1"));
+  }
+
   /** A huge array lets small ones go first, for a while; then it gets its turn. */
   @ParameterizedTest
   @CsvSource({"0, wk-2", "30, wk-2", "20000, wk-1"})
@@ -203,7 +242,7 @@
     job(spec("wk-1", Shape.ARRAY, Priority.LOW, 2, 1, 0, false, false), 0,
         new Assignment("a0", 1, TaskSet.range(0, 2)));
     JobSpec spec = spec("wk-2", Shape.ARRAY, Priority.HIGH, 9, 1, 0, false, false);
-    jobs.add(new JobState("wk-2", JobRecord.created(spec, 1), true, true, true, Set.of()));
+    jobs.add(new JobState("wk-2", JobRecord.created(spec, 1), true, true, true, 0, Set.of()));
     Plan plan = plan();
     assertEquals(1, placed(plan, "wk-2"));
     assertTrue(plan.stops().isEmpty());
@@ -246,7 +285,7 @@
     machine("a0", SMALL, "a", Set.of("img"), 0, 1);
     machine("a1", SMALL, "a");
     JobSpec spec = spec("wk-1", Shape.ARRAY, Priority.LOW, 1, 1, 0, false, false);
-    jobs.add(new JobState("wk-1", JobRecord.created(spec, 0), true, true, false, Set.of("a0")));
+    jobs.add(new JobState("wk-1", JobRecord.created(spec, 0), true, true, false, 0, Set.of("a0")));
     assertEquals(1, placed(plan(), "wk-1", "a1"));
   }
 
