--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -42,7 +42,7 @@
   private static final double OVERCOMMIT = 1.8;
 
   /** A single planner leaves room for submissions elsewhere. */
-  private static final double MOST_OF_WRITES = 0.6;
+  private static final double MOST_OF_WRITES = 0.75;
 
   private static final Duration SUMMARY_EVERY = Duration.ofSeconds(30);
 
@@ -205,9 +205,9 @@
   /** Its part of the write limit, shared with so many others; those who plan write most of it. */
   private double writeShare(int among) {
     double writes = settings.store().writeRps();
-    return among == 1
+    return settings.size() == 1
         ? writes
-        : Math.min(writes * MOST_OF_WRITES, writes / Math.max(2, among) * OVERCOMMIT);
+        : Math.min(writes * MOST_OF_WRITES, writes / among * OVERCOMMIT);
   }
 
   private void summarise() {
--- a/src/main/java/io/tansystack/fleet/Rentals.java
+++ b/src/main/java/io/tansystack/fleet/Rentals.java
@@ -223,12 +223,15 @@
     if (!inventory.complete()) {
       return "for the first machine list";
     }
+    if (now.minus(heldSince).compareTo(listAge) > 0) {
+      return "";
+    }
     // Without a journal, a holder of an earlier version may have rented what the list lacks yet.
     boolean first = world.machines().isEmpty() && inventory.isEmpty();
-    if (!inherited && !first && now.minus(heldSince).compareTo(listAge) <= 0) {
+    if (!inherited && !first) {
       return "for a list that shows what was rented before";
     }
-    return "";
+    return inventory.blind() ? "for word of the machines that run" : "";
   }
 
   private void write(List<Request> wanted) {
