--- /dev/null
+++ b/src/main/java/io/tansystack/workers/Claims.java
@@ -0,0 +1,237 @@
+package io.tansystack.workers;
+
+import io.tansystack.cluster.World;
+import io.tansystack.cluster.World.MachineRecord;
+import io.tansystack.http.HttpServer.Reply;
+import io.tansystack.http.Loop;
+import io.tansystack.store.RateBudget;
+import io.tansystack.store.StoreClient;
+import io.tansystack.store.StoreClient.Result;
+import io.tansystack.wire.Answers;
+import io.tansystack.wire.Cbor;
+import io.tansystack.wire.Report;
+import io.tansystack.wire.StoreWire.Condition;
+import io.tansystack.wire.StoreWire.Write;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Claims of machines: whose worker comes is sent to its owner, or taken over if there is none. */
+final class Claims {
+  private static final Logger log = LoggerFactory.getLogger(Claims.class);
+  private static final Duration CLAIM_WAIT = Duration.ofMillis(3500);
+  private static final Duration SENT_BACK = Duration.ofSeconds(20);
+  private static final double CLAIM_SHARE = 0.25;
+  private static final int MAX_SENT_AWAY = 10_000;
+
+  /** Told of a worker whose claim has come true, to be answered as the owner's. */
+  interface Claimed {
+    void accept(MachineRecord record, Report report, Reply reply);
+  }
+
+  private record Claiming(Report report, Reply reply, Duration until) {}
+
+  private record SentAway(int times, Duration at) {}
+
+  private final Loop loop;
+  private final StoreClient store;
+  private final World world;
+  private final String label;
+  private final String zone;
+  private final Predicate<String> unfit;
+  private final Predicate<MachineRecord> usable;
+  private final Claimed claimed;
+  private final Map<String, List<Claiming>> claims = new HashMap<>();
+  private final Map<String, SentAway> sentAway = new HashMap<>();
+
+  /** Claims may use a part of the write limit only: after a crash every machine asks at once. */
+  private final RateBudget claimPace;
+
+  /**
+   * @param unfit controllers to which no worker should be sent
+   * @param usable whether a record is this controller's own and its worker may be answered under it
+   */
+  Claims(
+      Loop loop,
+      StoreClient store,
+      World world,
+      String label,
+      String zone,
+      double writesPerSecond,
+      Predicate<String> unfit,
+      Predicate<MachineRecord> usable,
+      Claimed claimed) {
+    this.loop = loop;
+    this.store = store;
+    this.world = world;
+    this.label = label;
+    this.zone = zone;
+    this.unfit = unfit;
+    this.usable = usable;
+    this.claimed = claimed;
+    this.claimPace =
+        new RateBudget(
+            writesPerSecond * CLAIM_SHARE, Math.max(2, writesPerSecond * CLAIM_SHARE * 2), loop.now());
+  }
+
+  /**
+   * A worker that is not ours: it is sent to its owner if that one lives and is no worse for its
+   * zone, and claimed if there is none or if it keeps coming although it was sent away.
+   */
+  void claimOrRedirect(MachineRecord record, Report report, Reply reply) {
+    Duration now = loop.now();
+    boolean ownerLives =
+        record != null
+            && world.alive(record.owner())
+            && !unfit.test(record.owner());
+    String to = null;
+    if (ownerLives && !record.owner().equals(label)) {
+      boolean ownerNear = inZone(record.owner(), report.zone());
+      if (ownerNear || !zone.equals(report.zone())) {
+        to = record.owner();
+      }
+    } else if (!zone.equals(report.zone())) {
+      to = nearController(report.machine(), report.zone());
+    }
+    if (to != null) {
+      SentAway before = sentAway.get(report.machine());
+      boolean recent = before != null && now.minus(before.at).compareTo(SENT_BACK) < 0;
+      int times = recent ? before.times + 1 : 1;
+      if (times <= 2) {
+        if (sentAway.size() >= MAX_SENT_AWAY) {
+          sentAway.clear();
+        }
+        sentAway.put(report.machine(), new SentAway(times, now));
+        reply.send(421, Cbor.encode(Answers.redirect(to)));
+        return;
+      }
+    }
+    inTurn(record, report, reply);
+  }
+
+  /** Claims the machine, if it is its turn, and answers the worker after that. */
+  void inTurn(MachineRecord record, Report report, Reply reply) {
+    if (!claims.containsKey(report.machine()) && !claimPace.take(1, true, loop.now())) {
+      // Its former owner may be back before its turn comes, and then nobody need claim it.
+      reply.send(503, Cbor.encode(Answers.error("too many machines to claim")));
+      return;
+    }
+    sentAway.remove(report.machine());
+    claim(record, report, reply);
+  }
+
+  private boolean inZone(String controller, String wanted) {
+    World.ControllerRecord record = world.controllers().get(controller);
+    return record != null && record.zone().equals(wanted);
+  }
+
+  /** A controller of the zone, by the machine's name: all machines at one of them would be its end. */
+  private String nearController(String machine, String wanted) {
+    List<String> near = new ArrayList<>();
+    for (Map.Entry<String, World.ControllerRecord> entry : world.controllers().entrySet()) {
+      if (entry.getValue().zone().equals(wanted)
+          && !entry.getKey().equals(label)
+          && !unfit.test(entry.getKey())) {
+        near.add(entry.getKey());
+      }
+    }
+    return near.isEmpty() ? null : near.get(Math.floorMod(machine.hashCode(), near.size()));
+  }
+
+  private void claim(MachineRecord before, Report report, Reply reply) {
+    List<Claiming> waiting = claims.computeIfAbsent(report.machine(), k -> new ArrayList<>());
+    waiting.add(new Claiming(report, reply, loop.now().plus(CLAIM_WAIT)));
+    if (waiting.size() > 1) {
+      return;
+    }
+    MachineRecord next =
+        new MachineRecord(
+            report.machine(),
+            label,
+            report.address(),
+            report.type(),
+            report.zone(),
+            report.spot(),
+            before != null && before.drain(),
+            0);
+    write(
+        before,
+        next,
+        "report of session " + report.session() + " token " + report.token(),
+        result -> {
+          if (result != Result.DONE) {
+            dropClaims(report.machine());
+          }
+        });
+  }
+
+  private void dropClaims(String name) {
+    List<Claiming> waiting = claims.remove(name);
+    if (waiting != null) {
+      waiting.forEach(
+          c -> c.reply.send(503, Cbor.encode(Answers.error("the claim did not succeed"))));
+    }
+  }
+
+  /** Writes a new owner, on the condition that nobody else has. */
+  void write(
+      MachineRecord before, MachineRecord next, String why, Consumer<Result> then) {
+    String key = World.machineKey(next.name());
+    store.commitUrgent(
+        List.of(new Condition(key, before == null ? 0 : before.version())),
+        List.of(new Write(key, next.write(), 0)),
+        Duration.ofSeconds(2),
+        (result, revision) -> {
+          if (result == Result.DONE) {
+            log.info(
+                "claim machine={} token={} former={} because={}",
+                next.name(),
+                revision,
+                before == null ? "none" : before.owner() + "@" + before.version(),
+                why);
+          } else {
+            log.info("claim failed machine={} result={} because={}", next.name(), result, why);
+          }
+          then.accept(result);
+        });
+  }
+
+  /** The records have changed: claims may have come true. */
+  void worldChanged() {
+    for (String name : List.copyOf(claims.keySet())) {
+      MachineRecord record = world.machine(name);
+      if (usable.test(record)) {
+        List<Claiming> waiting = claims.remove(name);
+        waiting.forEach(c -> claimed.accept(record, c.report, c.reply));
+      }
+    }
+  }
+
+  /** Gives up on what has taken too long. */
+  void tick(Duration now) {
+    for (String name : List.copyOf(claims.keySet())) {
+      List<Claiming> waiting = claims.get(name);
+      if (!waiting.isEmpty() && now.compareTo(waiting.get(0).until) > 0) {
+        dropClaims(name);
+      }
+    }
+  }
+
+  /** Takes over a machine whose owner has ended and that reports to nobody. */
+  void adopt(MachineRecord orphan) {
+    if (claims.containsKey(orphan.name()) || !claimPace.take(1, true, loop.now())) {
+      return;
+    }
+    write(
+        orphan,
+        orphan.ownedBy(label),
+        "its owner has ended and it reports to nobody",
+        result -> {});
+  }
+}
--- /dev/null
+++ b/src/main/java/io/tansystack/workers/OwnedMachine.java
@@ -0,0 +1,112 @@
+package io.tansystack.workers;
+
+import io.tansystack.schedule.MachineHistory;
+import io.tansystack.wire.Answers;
+import io.tansystack.wire.BadInput;
+import io.tansystack.wire.Cbor;
+import io.tansystack.wire.Report;
+import io.tansystack.wire.ReportHead;
+import io.tansystack.wire.TaskId;
+import io.tansystack.wire.TaskReport;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** What the owner of a machine knows of it, and what it has under way to it. */
+final class OwnedMachine {
+  final String name;
+  final MachineHistory history;
+  Report latest;
+
+  /** The newest report that came as such, as it came: the next one often differs in its number only. */
+  private byte[] lastBody;
+
+  private ReportHead lastHead;
+  private Report lastRead;
+  private byte[] answer;
+  private long answerToken = -1;
+
+  /** The newest report's lines by attempt, made once for each report. */
+  Map<Attempt, TaskReport> listed = Map.of();
+
+  InetSocketAddress address;
+
+  /** Receipt of the last report that was answered with 200. */
+  Duration answeredAt;
+
+  /** Until then a former owner may have answered, as long as the worker hasn't shown our token. */
+  Duration formerOwnerUntil = Duration.ZERO;
+
+  /** Nothing is wanted of it as things stand, until it reports or something is recorded on it. */
+  boolean settled;
+
+  /** Forgetting alone is not worth a request of its own before this. */
+  Duration forgetAt = Duration.ZERO;
+
+  /**
+   * The record's version that its deletion names, while that may still be applied. The worker may
+   * come back meanwhile, in its next session: it must have another record before anything starts
+   * on it, or what starts would count as gone with the old one.
+   */
+  long goneVersion = -1;
+
+  boolean ordersInFlight;
+  long doubtfulToken = -1;
+  boolean claiming;
+  int failures;
+  Duration quietUntil = Duration.ZERO;
+  final Map<Attempt, Duration> halted = new HashMap<>();
+  View published;
+  Duration publishedAt = Duration.ZERO;
+
+  OwnedMachine(String name, MachineHistory history, Duration now) {
+    this.name = name;
+    this.history = history;
+    this.answeredAt = now;
+  }
+
+  /** A key written out for the reason given in {@link TaskId}. */
+  record Attempt(TaskId task, long attempt) {
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof Attempt a && attempt == a.attempt && task.equals(a.task);
+    }
+
+    @Override
+    public int hashCode() {
+      return task.hashCode() * 31 + Long.hashCode(attempt);
+    }
+  }
+
+  /** Reads a report; one that repeats the one before is known by its bytes. */
+  Report read(ReportHead head, byte[] body) throws BadInput {
+    if (lastBody != null && head.sameRest(body, lastHead, lastBody)) {
+      return lastRead.numbered(head.seq());
+    }
+    lastRead = Report.read(Cbor.decodeMap(body));
+    lastHead = head;
+    lastBody = body;
+    return lastRead;
+  }
+
+  /** What its reports are answered with under the token. */
+  byte[] answer(long token) {
+    if (answerToken != token) {
+      answerToken = token;
+      answer = Cbor.encode(Answers.report(token));
+    }
+    return answer;
+  }
+
+  /** Takes in a report that says something new. */
+  void take(Report report) {
+    latest = report;
+    listed = new LinkedHashMap<>();
+    for (TaskReport task : report.tasks()) {
+      listed.put(new Attempt(task.task(), task.attempt()), task);
+    }
+    settled = false;
+  }
+}
