--- /dev/null
+++ b/src/main/java/io/tansystack/jobs/ForeignProofs.java
@@ -0,0 +1,89 @@
+package io.tansystack.jobs;
+
+import io.tansystack.cluster.SlotDuty;
+import io.tansystack.cluster.World.Job;
+import io.tansystack.cluster.World;
+import io.tansystack.http.Loop;
+import io.tansystack.store.StoreClient;
+import io.tansystack.wire.StoreWire.Condition;
+import io.tansystack.wire.StoreWire.Write;
+import io.tansystack.workers.Proofs;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Proofs for jobs of other controllers' slots that nobody takes in. */
+final class ForeignProofs {
+  private static final Logger log = LoggerFactory.getLogger(ForeignProofs.class);
+  private static final Duration FOREIGN_AFTER = Duration.ofMillis(2500);
+
+  private record Unabsorbed(long version, Duration since) {}
+
+  private final Loop loop;
+  private final StoreClient store;
+  private final World world;
+  private final SlotDuty slots;
+  private final JobBook book;
+  private final Runnable wake;
+  private final Map<String, Unabsorbed> unabsorbed = new HashMap<>();
+
+  ForeignProofs(
+      Loop loop, StoreClient store, World world, SlotDuty slots, JobBook book, Runnable wake) {
+    this.loop = loop;
+    this.store = store;
+    this.world = world;
+    this.slots = slots;
+    this.book = book;
+    this.wake = wake;
+  }
+
+  /**
+   * Where the holder of a job's slot does not take in proofs that have been here for a while, for
+   * instance because it can't be reached, they are written without it: the record's own version is
+   * enough for that, and users learn that their job is done.
+   */
+  void absorb() {
+    Duration now = loop.now();
+    unabsorbed.keySet().retainAll(book.proven());
+    for (String id : List.copyOf(book.proven())) {
+      Job job = world.job(id);
+      if (slots.holds(job.slot()) || book.isPending(id)) {
+        unabsorbed.remove(id);
+        continue;
+      }
+      Unabsorbed known = unabsorbed.get(id);
+      if (known == null || known.version != job.version()) {
+        unabsorbed.put(id, new Unabsorbed(job.version(), now));
+        continue;
+      }
+      if (now.minus(known.since).compareTo(FOREIGN_AFTER) < 0 || !store.reserve(1)) {
+        continue;
+      }
+      unabsorbed.remove(id);
+      List<Condition> conditions = new ArrayList<>();
+      conditions.add(new Condition(World.jobKey(id), job.version()));
+      RoundWriter.addProofConditions(book.proofs(id), new HashSet<>(), conditions);
+      JobRecord next = book.effective().get(id);
+      log.info("taking in proofs for job={} of another's slot {}", id, job.slot());
+      book.writing(job, next);
+      store.commitReserved(
+          conditions,
+          List.of(new Write(World.jobKey(id), next.write(), 0)),
+          (result, revision) ->
+              loop.after(
+                  Duration.ofMillis(300),
+                  () -> {
+                    book.dropped(id);
+                    wake.run();
+                  }));
+    }
+    if (!unabsorbed.isEmpty()) {
+      loop.after(Duration.ofSeconds(1), wake);
+    }
+  }
+}
