Machines are emptied several at a time, as many as the cluster's size allows

Change: one machine in fifty may be emptied at a time, idle returns don't count, one overdue in a hundred doesn't stop it; replicas move one for 25 machines at a time, six at the least.

--- a/src/main/java/io/tansystack/fleet/BootEstimate.java
+++ b/src/main/java/io/tansystack/fleet/BootEstimate.java
@@ -48,9 +48,9 @@
     return ageS > expected(type, statedS) * OVERDUE;
   }
 
-  /** Whether a machine is waited for in vain at this time. */
-  boolean anyOverdue() {
-    return !overdue.isEmpty();
+  /** How many machines are waited for in vain at this time. */
+  int overdue() {
+    return overdue.values().stream().mapToInt(Integer::intValue).sum();
   }
 
   /** Starts a count of those that are waited for. */
--- a/src/main/java/io/tansystack/fleet/FleetDuty.java
+++ b/src/main/java/io/tansystack/fleet/FleetDuty.java
@@ -123,7 +123,7 @@
       judgeSilence();
       inventory.judge(now);
       warmth.judge(now);
-      warmth.consolidate(now, jobs.lastSnapshot(), jobs.lastPlan(), inventory.anyOverdue());
+      warmth.consolidate(now, jobs.lastSnapshot(), jobs.lastPlan(), inventory.overdue());
     }
     returns.send();
     rentals.turn(jobs.lastPlan().unmet(), now);
--- a/src/main/java/io/tansystack/fleet/Inventory.java
+++ b/src/main/java/io/tansystack/fleet/Inventory.java
@@ -266,9 +266,9 @@
     }
   }
 
-  /** Whether some machine is waited for in vain at this time. */
-  boolean anyOverdue() {
-    return boots.anyOverdue();
+  /** How many machines are waited for in vain at this time. */
+  int overdue() {
+    return boots.overdue();
   }
 
   /** What counts as room about to come. */
--- a/src/main/java/io/tansystack/fleet/Warmth.java
+++ b/src/main/java/io/tansystack/fleet/Warmth.java
@@ -14,6 +14,7 @@
 import io.tansystack.wire.Priority;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
 
@@ -27,6 +28,12 @@
   private static final Duration EXPECTED = Duration.ofSeconds(120);
   private static final Duration FOREVER = Duration.ofDays(10_000);
 
+  /** One machine in so many may be emptied at a time. */
+  private static final int AT_A_TIME = 50;
+
+  /** One machine in so many may be overdue before that says something of the cloud. */
+  private static final int FEW_OVERDUE = 100;
+
   /** The latest job of a class, and when it was first seen here. */
   private record Arrival(JobSpec spec, long submittedMs, Duration at) {}
 
@@ -121,14 +128,17 @@
   }
 
   /**
-   * Empties one machine at a time whose replicas fit elsewhere. Not while work lacks room, and not
+   * Empties machines whose replicas fit elsewhere, a few at a time. Not while work lacks room, and not
    * where starts are due sooner than a machine boots by far: there every machine is wanted warm.
    *
-   * @param overdue what is rented may not come for long: nothing that runs is given back meanwhile
+   * @param overdue so many machines are waited for in vain. What is rented may not come for long:
+   *     while they are more than a few, nothing that runs is given back
    */
-  void consolidate(Duration now, Snapshot snapshot, Plan plan, boolean overdue) {
+  void consolidate(Duration now, Snapshot snapshot, Plan plan, int overdue) {
+    int machines = world.machines().size();
     boolean busy =
-        overdue || plan.unmet().stream().anyMatch(u -> u.spec().priority() != Priority.LOW);
+        overdue > machines / FEW_OVERDUE
+            || plan.unmet().stream().anyMatch(u -> u.spec().priority() != Priority.LOW);
     if (busy || now.minus(heldSince).compareTo(SETTLE) < 0) {
       lastBusy = now;
       return;
@@ -136,21 +146,19 @@
     if (now.minus(lastBusy).compareTo(operator.consolidateAfter()) < 0) {
       return;
     }
-    for (MachineRecord record : world.machines().values()) {
-      if (record.drain()) {
-        return;
-      }
-    }
     lastBusy = now; // Whatever comes of it, the next look is a while later: it goes through everything.
-    String name =
+    List<String> names =
         Consolidation.pick(
             snapshot,
             // Machines that are wanted warm when jobs come are not worth moving replicas about.
             machine -> keepFactor(machine.type(), FOREVER, now) < MAX_KEEP,
-            operator.spareReplicas());
-    MachineRecord record = name == null ? null : world.machine(name);
-    if (record != null) {
-      returns.drain(record, "its replicas fit elsewhere");
+            operator.spareReplicas(),
+            Math.max(1, machines / AT_A_TIME));
+    for (String name : names) {
+      MachineRecord record = world.machine(name);
+      if (record != null && !record.drain()) {
+        returns.drain(record, "its replicas fit elsewhere");
+      }
     }
   }
 }
--- a/src/main/java/io/tansystack/schedule/Consolidation.java
+++ b/src/main/java/io/tansystack/schedule/Consolidation.java
@@ -7,6 +7,7 @@
 import io.tansystack.wire.Priority;
 import io.tansystack.wire.Shape;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -27,6 +28,7 @@
     double mem;
     final List<JobSpec> replicas = new ArrayList<>();
     boolean pinned;
+    boolean emptied;
 
     Free(MachineState machine) {
       this.machine = machine;
@@ -51,14 +53,15 @@
   }
 
   /**
-   * The most expensive machine that can be emptied, or null.
+   * The most expensive machines that can be emptied at the same time.
    *
    * @param mayEmpty machines that are not wanted warm
    * @param spare how many more tasks of the largest service must find room afterwards, so that the
    *     next arrivals need not wait for a machine to boot
+   * @param most so many at the most are emptied at a time, with those that are being emptied already
    */
-  public static String pick(
-      Snapshot snapshot, Predicate<MachineState> mayEmpty, int spare) {
+  public static List<String> pick(
+      Snapshot snapshot, Predicate<MachineState> mayEmpty, int spare, int most) {
     Map<String, Free> rooms = new HashMap<>();
     for (MachineState machine : snapshot.machines()) {
       rooms.put(machine.name(), new Free(machine));
@@ -89,31 +92,48 @@
     List<Free> order = new ArrayList<>(rooms.values());
     order.sort(
         Comparator.comparingDouble((Free f) -> -f.price()).thenComparing(f -> f.machine.name()));
+    int emptying = 0;
     for (Free from : order) {
-      if (!from.pinned
-          && from.machine.open()
-          && !from.replicas.isEmpty()
-          && mayEmpty.test(from.machine)
-          && movesElsewhere(from, order, largest, spare)) {
-        return from.machine.name();
+      if (from.machine.drain() && !from.replicas.isEmpty()) {
+        emptying++;
+        moveTo(takeElsewhere(from, order, from.replicas), from);
       }
     }
-    return null;
+    List<JobSpec> reserve = Collections.nCopies(spare, largest);
+    List<String> picked = new ArrayList<>();
+    for (Free from : order) {
+      if (emptying + picked.size() >= most) {
+        break;
+      }
+      if (from.pinned
+          || !from.machine.open()
+          || from.replicas.isEmpty()
+          || !mayEmpty.test(from.machine)) {
+        continue;
+      }
+      List<Free> taken = takeElsewhere(from, order, from.replicas);
+      List<Free> kept = taken == null ? null : takeElsewhere(from, order, reserve);
+      if (kept != null) {
+        giveBack(kept, reserve);
+        moveTo(taken, from);
+        from.emptied = true;
+        picked.add(from.machine.name());
+      } else if (taken != null) {
+        giveBack(taken, from.replicas);
+      }
+    }
+    return picked;
   }
 
-  private static boolean movesElsewhere(
-      Free from, List<Free> order, JobSpec largest, int spare) {
+  /** Takes room for the tasks on other machines; null, and none taken, if there isn't enough. */
+  private static List<Free> takeElsewhere(Free from, List<Free> order, List<JobSpec> tasks) {
     List<Free> taken = new ArrayList<>();
-    List<JobSpec> toPlace = new ArrayList<>(from.replicas);
-    for (int i = 0; i < spare; i++) {
-      toPlace.add(largest);
-    }
-    boolean all = true;
-    for (JobSpec spec : toPlace) {
+    for (JobSpec spec : tasks) {
       Free target = null;
       for (Free f : order) {
         // To a cheaper machine or one that is kept for its other work anyway.
         if (f != from
+            && !f.emptied
             && f.fits(spec)
             && f.machine.open()
             && (f.price() < from.price() || f.pinned || !f.replicas.isEmpty())
@@ -123,15 +143,25 @@
         }
       }
       if (target == null) {
-        all = false;
-        break;
+        giveBack(taken, tasks);
+        return null;
       }
       target.take(spec, 1);
       taken.add(target);
     }
+    return taken;
+  }
+
+  /** What moves to a machine is in the way when that one is to be emptied too. */
+  private static void moveTo(List<Free> taken, Free from) {
+    for (int i = 0; taken != null && i < taken.size(); i++) {
+      taken.get(i).replicas.add(from.replicas.get(i));
+    }
+  }
+
+  private static void giveBack(List<Free> taken, List<JobSpec> tasks) {
     for (int i = 0; i < taken.size(); i++) {
-      taken.get(i).take(toPlace.get(i), -1);
+      taken.get(i).take(tasks.get(i), -1);
     }
-    return all;
   }
 }
--- a/src/main/java/io/tansystack/schedule/ReplicaMoves.java
+++ b/src/main/java/io/tansystack/schedule/ReplicaMoves.java
@@ -25,7 +25,10 @@
  * lacks more than one of its replicas on this account.
  */
 final class ReplicaMoves {
-  private static final int MAX_MOVING = 6;
+  /** So many replicas may move at a time, and one more for so many machines of a large cluster. */
+  private static final int FEW_MOVING = 6;
+
+  private static final int MACHINES_A_MOVE = 25;
 
   /** Where a job's tasks could go, best first. */
   interface Candidates {
@@ -38,6 +41,7 @@
   private final Candidates candidates;
   private final Map<String, JobState> jobs = new HashMap<>();
   private final Set<Room> clearing = new HashSet<>();
+  private final int maxMoving;
 
   ReplicaMoves(
       Map<String, Room> rooms, AcceleratorKeep keep, Plan plan, Candidates candidates) {
@@ -45,11 +49,12 @@
     this.keep = keep;
     this.plan = plan;
     this.candidates = candidates;
+    this.maxMoving = Math.max(FEW_MOVING, rooms.size() / MACHINES_A_MOVE);
   }
 
   void run(List<JobState> active, int alreadyMoving) {
     int moving = alreadyMoving;
-    if (moving >= MAX_MOVING) {
+    if (moving >= maxMoving) {
       return;
     }
     List<Room> toEmpty = toEmpty();
@@ -64,7 +69,7 @@
     for (Room from : toEmpty) {
       for (Held held : List.copyOf(from.held())) {
         JobState job = jobs.get(held.job().id());
-        if (job != null && movable(job) && move(job, held, from) && ++moving >= MAX_MOVING) {
+        if (job != null && movable(job) && move(job, held, from) && ++moving >= maxMoving) {
           return;
         }
       }
@@ -81,7 +86,7 @@
     Set<Ask> hopeless = new HashSet<>();
     for (Unmet need : plan.unmet()) {
       // No more replicas move at a time than one machine holds, as a rule.
-      if (clearing.size() >= MAX_MOVING || need.spec().gpus() <= 0) {
+      if (clearing.size() >= maxMoving || need.spec().gpus() <= 0) {
         continue;
       }
       Ask ask = Ask.of(need.spec());
--- /dev/null
+++ b/src/test/java/io/tansystack/schedule/ConsolidationTest.java
@@ -0,0 +1,75 @@
+package io.tansystack.schedule;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.tansystack.jobs.JobRecord;
+import io.tansystack.jobs.JobRecord.Assignment;
+import io.tansystack.jobs.TaskSet;
+import io.tansystack.schedule.Snapshot.JobState;
+import io.tansystack.schedule.Snapshot.MachineState;
+import io.tansystack.wire.JobSpec;
+import io.tansystack.wire.MachineType;
+import io.tansystack.wire.Priority;
+import io.tansystack.wire.Shape;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ConsolidationTest {
+  private static final MachineType DEAR =
+      new MachineType("dear", 8, 8, 64, 50, 1, 20, 5, 25, List.of("a"));
+  private static final MachineType CHEAP =
+      new MachineType("cheap", 8, 0, 64, 50, 1, 1, 0.3, 40, List.of("a"));
+
+  private static MachineState machine(String name, MachineType type, boolean drain) {
+    return new MachineState(
+        name, type, "a", false, 1, !drain, drain, Set.of(), Set.of(), 0, 1, 1);
+  }
+
+  /**
+   * Three dear machines with two replicas of 1 CPU each, and a cheap one that holds one replica and
+   * has so much room left. At most so many are emptied at a time, one of them already.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    // room, spare, most, first is draining, expected
+    "7, 0, 5, false, d0 d1 d2",
+    "7, 1, 5, false, d0 d1 d2",
+    "7, 2, 5, false, d0 d1",
+    "7, 0, 2, false, d0 d1",
+    "3, 0, 5, false, d0 d1", // What both held is on the third, which the cheap one can't take.
+    "0, 0, 5, false, d0 d1",
+    "7, 0, 2, true, d1",
+    "3, 0, 5, true, d1",
+    "7, 0, 1, true, ''",
+  })
+  void emptiesWhatFitsElsewhereAtOnce(
+      int room, int spare, int most, boolean draining, String expected) {
+    List<MachineState> machines = new ArrayList<>();
+    List<JobState> jobs = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      machines.add(machine("d" + i, DEAR, draining && i == 0));
+      jobs.add(replicas("wk-" + i, 1, "d" + i, 2));
+    }
+    machines.add(machine("c", CHEAP, false));
+    jobs.add(replicas("wk-3", 8 - room, "c", 1));
+    Snapshot snapshot = new Snapshot(machines, List.of(), jobs, Map.of());
+    assertEquals(
+        expected,
+        String.join(" ", Consolidation.pick(snapshot, m -> m.type() == DEAR, spare, most)));
+  }
+
+  private static JobState replicas(String id, double cpus, String machine, int tasks) {
+    JobSpec spec =
+        new JobSpec(
+            id, "c", "t", Shape.SERVICE, Priority.PRODUCTION, tasks, cpus, 0, 1, "img", 2,
+            List.of("dear", "cheap"), null, false, false, false, 0, 0, 0, null);
+    JobRecord record =
+        JobRecord.created(spec, 0)
+            .placed(List.of(new Assignment(machine, 1, TaskSet.range(0, tasks))));
+    return new JobState(id, record, true, true, false, 0, Set.of());
+  }
+}
