--- a/src/test/java/io/tansystack/sim/ClusterTest.java
+++ b/src/test/java/io/tansystack/sim/ClusterTest.java
@@ -72,6 +72,9 @@
   /** How often an exchange goes wrong. */
   private double trouble;
 
+  /** What was answered to each rental: one name rents once. */
+  private final Map<String, ObjectNode> rented = new HashMap<>();
+
   private int machineCounter;
   private int maxMachines = 8;
 
@@ -211,6 +214,11 @@
       type.put("PullGbPerS", 1.0).put("Price", 1.0).put("MarketPrice", 0.3).put("BootS", 5);
       type.putArray("Yards").add("a");
     } else if (path.equals("/machines")) {
+      String charter = body.get("Charter").asText();
+      if (rented.containsKey(charter)) {
+        reply.accept(200, rented.get(charter));
+        return;
+      }
       ArrayNode names = map.putArray("Berths");
       for (int i = 0; i < body.get("HowMany").asInt() && workers.size() < maxMachines; i++) {
         names.add(addWorker());
@@ -219,6 +227,7 @@
         reply.accept(503, Cbor.map().put("error", "no capacity"));
         return;
       }
+      rented.put(charter, map);
     } else if (path.equals("/machines/delete")) {
       body.get("Berths")
           .forEach(
@@ -642,6 +651,11 @@
       } else if (fault == 5) {
         refused = victim;
         loop.after(Duration.ofMillis(1000 + random.nextInt(30_000)), () -> refused = -1);
+      } else if (fault == 6) {
+        deafTo = victim;
+        loop.after(Duration.ofMillis(1000 + random.nextInt(60_000)), () -> deafTo = -1);
+      } else if (fault == 7) {
+        deletionsLate = Duration.ofMillis(random.nextInt(8000));
       } else if (controllers.containsKey(victim) && fault < 3) {
         kill(victim);
         loop.after(
