--- a/src/main/java/io/tansystack/cluster/World.java
+++ b/src/main/java/io/tansystack/cluster/World.java
@@ -2,13 +2,11 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.jobs.JobRecord;
-import io.tansystack.jobs.Placement;
 import io.tansystack.store.Watcher;
 import io.tansystack.wire.BadInput;
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.Read;
 import io.tansystack.wire.StoreWire.Change;
-import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -81,25 +79,6 @@
     }
   }
 
-  /** A placement together with its job, of which the newest record is looked up when it is asked for. */
-  public final class Placed {
-    private final String id;
-    private final Placement placement;
-
-    private Placed(String id, Placement placement) {
-      this.id = id;
-      this.placement = placement;
-    }
-
-    public Job job() {
-      return jobIndex.get(id);
-    }
-
-    public Placement placement() {
-      return placement;
-    }
-  }
-
   /**
    * What a batch of changes concerns, so that nothing else need be looked at again.
    *
@@ -125,7 +104,7 @@
   private ObjectNode types;
   private final LinkedHashMap<String, JobRecord.Phase> finals = new LinkedHashMap<>();
   private final Map<String, Long> versions = new HashMap<>();
-  private final Map<String, List<Placed>> byMachine = new HashMap<>();
+  private final PlacementIndex placements = new PlacementIndex(jobIndex::get);
   private Set<String> touchedJobs = new HashSet<>();
   private Set<String> touchedMachines = new HashSet<>();
   private Set<String> touchedPlacedOn = new HashSet<>();
@@ -304,41 +283,13 @@
     }
   }
 
-  /**
-   * Replaces what is known of a job (null: nothing), and what is recorded on its machines. Only those
-   * on which its part changed count as touched: most writes concern few of a job's many machines.
-   */
+  /** Replaces what is known of a job (null: nothing), and what is recorded on its machines. */
   private void keep(String id, Job job) {
     Job old = jobIndex.get(id);
     put(jobs, id, job);
     put(jobIndex, id, job);
     touchedJobs.add(id);
-    boolean whole = old == null || job == null || old.record().phase() != job.record().phase();
-    Set<Placement> gone = new HashSet<>();
-    if (old != null) {
-      gone.addAll(old.record().placements());
-    }
-    if (job != null) {
-      for (Placement placement : job.record().placements()) {
-        boolean known = gone.remove(placement);
-        if (!known) {
-          byMachine
-              .computeIfAbsent(placement.machine(), k -> new ArrayList<>())
-              .add(new Placed(id, placement));
-        }
-        if (!known || whole) {
-          touchedPlacedOn.add(placement.machine());
-        }
-      }
-    }
-    for (Placement placement : gone) {
-      touchedPlacedOn.add(placement.machine());
-      List<Placed> on = byMachine.get(placement.machine());
-      on.removeIf(placed -> placed.id.equals(id) && placed.placement.equals(placement));
-      if (on.isEmpty()) {
-        byMachine.remove(placement.machine());
-      }
-    }
+    placements.replace(id, old, job, touchedPlacedOn);
   }
 
   public long revision() {
@@ -396,8 +347,8 @@
     return teams.getOrDefault(team.replace(' ', '_'), 0L);
   }
 
-  public List<Placed> placedOn(String machine) {
-    return byMachine.getOrDefault(machine, List.of());
+  public List<PlacementIndex.Placed> placedOn(String machine) {
+    return placements.on(machine);
   }
 
   /**
--- a/src/main/java/io/tansystack/jobs/JobBook.java
+++ b/src/main/java/io/tansystack/jobs/JobBook.java
@@ -3,6 +3,7 @@
 import io.tansystack.cluster.SlotDuty;
 import io.tansystack.cluster.World.Job;
 import io.tansystack.cluster.World.MachineRecord;
+import io.tansystack.cluster.PlacementIndex;
 import io.tansystack.cluster.World;
 import io.tansystack.http.Loop;
 import io.tansystack.schedule.Deadlines;
@@ -133,7 +134,7 @@
 
   private void touchedMachine(String name) {
     states.remove(name);
-    for (World.Placed placed : world.placedOn(name)) {
+    for (PlacementIndex.Placed placed : world.placedOn(name)) {
       dirtyJobs.add(placed.job().id());
     }
   }
--- a/src/main/java/io/tansystack/workers/Orders.java
+++ b/src/main/java/io/tansystack/workers/Orders.java
@@ -2,7 +2,7 @@
 
 import io.tansystack.cluster.World;
 import io.tansystack.cluster.World.Job;
-import io.tansystack.cluster.World.Placed;
+import io.tansystack.cluster.PlacementIndex.Placed;
 import io.tansystack.http.HttpCaller;
 import io.tansystack.http.Loop;
 import io.tansystack.jobs.Placement;
