Reports are read as a stream

A body that is just as expected becomes a report without a tree; anything else is left to the reader of before, which names what is wrong. The test holds both to the same result.

--- a/src/main/java/io/tansystack/cluster/SlotDuty.java
+++ b/src/main/java/io/tansystack/cluster/SlotDuty.java
@@ -6,7 +6,6 @@
 import io.tansystack.wire.StoreWire.Condition;
 import io.tansystack.wire.StoreWire.Write;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
--- a/src/main/java/io/tansystack/jobs/UserApi.java
+++ b/src/main/java/io/tansystack/jobs/UserApi.java
@@ -9,7 +9,6 @@
 import io.tansystack.settings.PlatformSettings.Team;
 import io.tansystack.store.StoreClient;
 import io.tansystack.store.StoreClient.Got;
-import io.tansystack.store.StoreClient.Result;
 import io.tansystack.wire.Answers;
 import io.tansystack.wire.Answers.JobState;
 import io.tansystack.wire.BadInput;
--- a/src/main/java/io/tansystack/wire/Report.java
+++ b/src/main/java/io/tansystack/wire/Report.java
@@ -21,6 +21,12 @@
 
   private static final int MAX_NAME = 100;
 
+  /** Reads a report as it came. */
+  public static Report read(byte[] body) throws BadInput {
+    Report report = ReportStream.read(body);
+    return report != null ? report : read(Cbor.decodeMap(body));
+  }
+
   public static Report read(ObjectNode map) throws BadInput {
     List<TaskReport> tasks = new ArrayList<>();
     if (Read.has(map, "Wagons")) {
@@ -29,9 +35,7 @@
       }
     }
     String machine = Read.text(map, "Berth");
-    if (machine.isEmpty() || machine.length() > MAX_NAME || machine.indexOf(' ') >= 0) {
-      throw new BadInput("Berth: bad name");
-    }
+    checkName(machine);
     return new Report(
         machine,
         Read.text(map, "Endpoint"),
@@ -45,6 +49,15 @@
         List.copyOf(tasks));
   }
 
+  static void checkName(String machine) throws BadInput {
+    if (machine == null
+        || machine.isEmpty()
+        || machine.length() > MAX_NAME
+        || machine.indexOf(' ') >= 0) {
+      throw new BadInput("Berth: bad name");
+    }
+  }
+
   public ObjectNode write() {
     ObjectNode map = Cbor.map();
     map.put("Berth", machine).put("Endpoint", address).put("Fleet", type).put("Yard", zone);
--- a/src/main/java/io/tansystack/workers/Orders.java
+++ b/src/main/java/io/tansystack/workers/Orders.java
@@ -7,7 +7,6 @@
 import io.tansystack.http.Loop;
 import io.tansystack.jobs.Placement;
 import io.tansystack.wire.BadInput;
-import io.tansystack.wire.Cbor;
 import io.tansystack.wire.Command;
 import io.tansystack.wire.Report;
 import io.tansystack.wire.TaskId;
@@ -181,7 +180,7 @@
             machine.failures = 0;
             try {
               if (status == 200 || status == 409) {
-                Report report = Report.read(Cbor.decodeMap(body));
+                Report report = Report.read(body);
                 if (report.machine().equals(machine.name)) {
                   answered.take(machine, report);
                 }
--- a/src/main/java/io/tansystack/workers/OwnedMachine.java
+++ b/src/main/java/io/tansystack/workers/OwnedMachine.java
@@ -85,7 +85,7 @@
     if (lastBody != null && head.sameRest(body, lastHead, lastBody)) {
       return lastRead.numbered(head.seq());
     }
-    lastRead = Report.read(Cbor.decodeMap(body));
+    lastRead = Report.read(body);
     lastHead = head;
     lastBody = body;
     return lastRead;
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -148,7 +148,7 @@
   private Report read(byte[] body) throws BadInput {
     ReportHead head = ReportHead.read(body);
     OwnedMachine machine = head == null ? null : machines.get(head.machine());
-    return machine == null ? Report.read(Cbor.decodeMap(body)) : machine.read(head, body);
+    return machine == null ? Report.read(body) : machine.read(head, body);
   }
 
   private void accept(MachineRecord record, Report report, Reply reply) {
--- a/src/test/java/io/tansystack/wire/ReportTest.java
+++ b/src/test/java/io/tansystack/wire/ReportTest.java
@@ -1,8 +1,11 @@
 package io.tansystack.wire;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -68,4 +71,42 @@
       assertEquals("n-1", head.machine());
     }
   }
+
+  /** Read as a stream, a report is what it is as a tree; what is not ordinary is left to the tree. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      quoteCharacter = '`',
+      textBlock =
+          """
+          none       |                                                 | true
+          spot       | {"Loaners":true,"RecallS":7.5,"Baton":null}     | false
+          notice     | {"RecallS":7}                                   | true
+          null       | {"RecallS":null}                                | true
+          unknown    | {"New":{"a":[1,{"b":2}]},"Newer":[[1],2]}       | true
+          no tasks   | {"Wagons":[]}                                   | true
+          ended      | {"Wagons":[{"Wagon":"wk-1/2","Departure":3,"Status":"ended","Cause":"done"}]} | true
+          later word | {"Wagons":[{"Wagon":"wk-1/2","Departure":3,"Status":"ended","Cause":"new"}]}  | true
+          saved      | {"Wagons":[{"Wagon":"wk-1/2","Departure":3,"Status":"ended","Cause":"halted","Stored":true,"X":{}}]} | true
+          no cause   | {"Wagons":[{"Wagon":"wk-1/2","Departure":3,"Status":"ended"}]}   | true
+          bad state  | {"Wagons":[{"Wagon":"wk-1/2","Departure":3,"Status":"asleep"}]}  | false
+          bad task   | {"Wagons":[{"Wagon":"wk-1","Departure":3,"Status":"running"}]}   | false
+          negative   | {"Tick":-1}                                     | false
+          huge       | {"Tick":99999999999999999999}                   | false
+          text       | {"Shift":"2"}                                   | false
+          bad name   | {"Berth":"a b"}                                 | false
+          """)
+  void aStreamIsReadAsATreeIs(String name, String changes, boolean ordinary) throws Exception {
+    ObjectNode map = report(2, 88, 41, RUNNING).write();
+    if (changes != null) {
+      map.setAll((ObjectNode) new ObjectMapper().readTree(changes));
+    }
+    byte[] body = Cbor.encode(map);
+    Report stream = ReportStream.read(body);
+    assertEquals(ordinary, stream != null, name);
+    if (ordinary) {
+      assertEquals(Report.read(Cbor.decodeMap(body)), stream, name);
+    }
+    assertNull(ReportStream.read(Arrays.copyOf(body, body.length - 3)), "cut off");
+  }
 }
