--- a/src/main/java/io/tansystack/fleet/Rentals.java
+++ b/src/main/java/io/tansystack/fleet/Rentals.java
@@ -78,7 +78,7 @@
       Kind kind = new Kind(Read.text(map, "type"), Read.text(map, "zone"), Read.flag(map, "spot"));
       int count = (int) Read.integer(map, "count", 1, CloudWire.MAX_RENT);
       Request request = new Request(Read.text(map, "id"), kind, count);
-      request.got = map.path("got").asInt(-1);
+      request.got = Math.min(map.path("got").asInt(-1), count);
       request.answeredAt = request.got < 0 ? null : now;
       return request;
     }
@@ -265,7 +265,7 @@
           inherited = true;
           for (Request r : wanted) {
             r.calling = false;
-            if (requests.containsKey(r.id) && cloud.take()) {
+            if (requests.get(r.id) == r && cloud.take()) {
               ask(r);
             }
           }
