Submissions that come at once share a record: the earliest counts until a job has gone on

What comes faster than half of the write limit allows is gathered and accepted by one record (ts/intake), which goes once each of its jobs has its own record. The simulated cluster loads its copies from many small pages and submits bursts with differing repetitions under failures.

--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -11,6 +11,7 @@
 import io.tansystack.http.HttpCaller;
 import io.tansystack.http.HttpServer.Reply;
 import io.tansystack.http.Loop;
+import io.tansystack.jobs.IntakeSweep;
 import io.tansystack.jobs.JobDuty;
 import io.tansystack.jobs.Overseer;
 import io.tansystack.jobs.UserApi;
@@ -61,6 +62,7 @@
   private final JobDuty jobs;
   private final FleetDuty fleet;
   private final UserApi users;
+  private final IntakeSweep sweep;
   private final Overseer overseer;
   private final Latencies latencies;
   private final Map<String, View> views = new HashMap<>();
@@ -156,7 +158,9 @@
             views::get, jobs);
     this.users =
         new UserApi(
-            loop, store, world, settings, clock, types::all, this::storeAnswers, watcher::confirm);
+            loop, store, world, settings, boot, clock, types::all, this::storeAnswers,
+            watcher::confirm);
+    this.sweep = new IntakeSweep(loop, store, world, lease, slots);
     this.overseer =
         new Overseer(
             loop,
@@ -175,6 +179,7 @@
     peers.start();
     slots.start();
     fleet.start();
+    sweep.start();
     overseer.start();
     tick();
     summarise();
--- a/src/main/java/io/tansystack/cluster/World.java
+++ b/src/main/java/io/tansystack/cluster/World.java
@@ -7,6 +7,7 @@
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.Read;
 import io.tansystack.wire.StoreWire.Change;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -72,7 +73,7 @@
     }
   }
 
-  /** A job's record with its version. */
+  /** A job's record with the version of its own key: 0 while it only stands among others' intake. */
   public record Job(JobRecord record, long version, int slot) {
     public String id() {
       return record.spec().id();
@@ -105,6 +106,7 @@
   private final LinkedHashMap<String, JobRecord.Phase> finals = new LinkedHashMap<>();
   private final Map<String, Long> versions = new HashMap<>();
   private final PlacementIndex placements = new PlacementIndex(jobIndex::get);
+  private final Intakes intakes = new Intakes(jobIndex::get);
   private Set<String> touchedJobs = new HashSet<>();
   private Set<String> touchedMachines = new HashSet<>();
   private Set<String> touchedPlacedOn = new HashSet<>();
@@ -125,6 +127,16 @@
     return PREFIX + "jobs/" + slotOf(job) + "/" + job;
   }
 
+  /** Sorts before the jobs' keys, and has to: see {@link Intakes}. */
+  public static String intakeKey(String name) {
+    return PREFIX + "intake/" + name;
+  }
+
+  /** The record that accepts several jobs at once. */
+  public static ObjectNode intake(Collection<JobRecord> records) {
+    return Intakes.write(records);
+  }
+
   public static String machineKey(String machine) {
     return PREFIX + "machines/" + machine;
   }
@@ -231,6 +243,7 @@
         put(machineIndex, name, machine);
         touchedMachines.add(name);
       }
+      case "intake" -> intakes.put(name, value, version, finals::containsKey, this::keep);
       case "jobs" -> {
         String id = name.substring(name.indexOf('/') + 1);
         if (value == null) {
@@ -238,7 +251,10 @@
           return;
         }
         Job before = jobIndex.get(id);
-        JobRecord record = JobRecord.read(value, before == null ? null : before.record().spec());
+        // What an own record says counts, whatever stood for it until then.
+        boolean same = before != null && before.version() > 0;
+        JobRecord record =
+            intakes.own(id, JobRecord.read(value, same ? before.record().spec() : null), version);
         if (!record.active()) {
           finals.put(id, record.phase());
           if (finals.size() > MAX_FINALS) {
@@ -326,6 +342,11 @@
     return Collections.unmodifiableMap(jobs);
   }
 
+  /** Records that accepted several jobs and are no longer needed, with their versions. */
+  public Map<String, Long> intakesOver() {
+    return intakes.over();
+  }
+
   public Job job(String id) {
     return jobIndex.get(id);
   }
--- a/src/main/java/io/tansystack/jobs/JobRecord.java
+++ b/src/main/java/io/tansystack/jobs/JobRecord.java
@@ -40,6 +40,11 @@
     Phase(String text) {
       this.text = text;
     }
+
+    /** What users are told of a job in a final phase. */
+    JobState state() {
+      return this == DONE ? JobState.DONE : JobState.CANCELLED;
+    }
   }
 
   /** Proof that one attempt of a task on a machine is over; {@code done} if it completed. */
@@ -56,6 +61,11 @@
     return phase == Phase.ACTIVE;
   }
 
+  /** Whether nobody has acted on it since it was accepted. */
+  public boolean untouched() {
+    return active() && attempt == 0;
+  }
+
   public JobRecord cancelled() {
     return new JobRecord(spec, submittedMs, Phase.CANCELLED, done, attempt, placements).shrunk();
   }
@@ -197,11 +207,10 @@
   }
 
   public JobState state() {
-    return switch (phase) {
-      case DONE -> JobState.DONE;
-      case CANCELLED -> JobState.CANCELLED;
-      case ACTIVE -> placements.isEmpty() ? JobState.PENDING : JobState.RUNNING;
-    };
+    if (!active()) {
+      return phase.state();
+    }
+    return placements.isEmpty() ? JobState.PENDING : JobState.RUNNING;
   }
 
   public static JobRecord read(ObjectNode map) throws BadInput {
--- /dev/null
+++ b/src/test/java/io/tansystack/sim/IntakeTest.java
@@ -0,0 +1,93 @@
+package io.tansystack.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.wire.Cbor;
+import io.tansystack.wire.JobSpec;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
+
+/** Many jobs submitted at once: few writes, and each is a job like any other from that moment on. */
+class IntakeTest extends SimCluster {
+  private static final int JOBS = 40;
+
+  private List<JobSpec> jobs(int tasks) {
+    List<JobSpec> specs = new ArrayList<>();
+    for (int i = 0; i < JOBS; i++) {
+      specs.add(spec(String.format("wk-%06d", i), tasks));
+    }
+    return specs;
+  }
+
+  @Test
+  void aBurstTakesFewWritesAndEveryControllerKnowsItsJobs() throws Exception {
+    controllerCount = 2;
+    boot(0);
+    boot(1);
+    loop.runFor(Duration.ofSeconds(3));
+    maxMachines = 0;
+    Map<String, Integer> answers = submitTogether(0, jobs(1));
+    loop.runFor(Duration.ofSeconds(1));
+    assertEquals(Set.of(201), new TreeSet<>(answers.values()));
+    assertTrue(store.writes("ts/intake/") <= 4, store.writes("ts/intake/") + " writes");
+    assertTrue(store.writes("ts/jobs/") <= 2, store.writes("ts/jobs/") + " records of their own");
+
+    kill(0); // The one that accepted them; what it knew is in the records.
+    ObjectNode[] answer = new ObjectNode[1];
+    assertEquals("pending", state("wk-000007"));
+    assertEquals("404", state("wk-000099"));
+    assertEquals(404, call("POST", "/v1/jobs/wk-000099/abort", new byte[0], answer));
+    byte[] other = Cbor.encode(Cbor.map().put("Uid", "wk-000008").put("Wagons", "many"));
+    assertEquals(200, call("POST", "/v1/jobs", other, answer), "whatever the body of a repetition");
+    assertEquals(200, call("POST", "/v1/jobs/wk-000009/abort", new byte[0], answer));
+    assertEquals("withdrawn", state("wk-000009"));
+
+    boot(0);
+    loop.runFor(Duration.ofSeconds(2));
+    kill(1); // The one that is left has read all of it anew.
+    assertEquals("pending", state("wk-000007"));
+    assertEquals("withdrawn", state("wk-000009"));
+    boot(1);
+    maxMachines = 8;
+    loop.runFor(Duration.ofSeconds(240));
+    for (JobSpec spec : jobs(1)) {
+      assertEquals(
+          spec.id().equals("wk-000009") ? "withdrawn" : "done", state(spec.id()), spec.id());
+    }
+    assertEquals(JOBS - 1, started.size(), "each was started once, and none that was cancelled");
+    assertEquals(0, store.keys("ts/intake/"), "nothing needs them any more");
+  }
+
+  @Test
+  void ofTwoThatAcceptOneIdTheFirstCounts() throws Exception {
+    controllerCount = 2;
+    boot(0);
+    boot(1);
+    loop.runFor(Duration.ofSeconds(3));
+    maxMachines = 0;
+    List<JobSpec> later = jobs(2);
+    Collections.reverse(later);
+    submitTogether(0, jobs(1));
+    loop.runFor(Duration.ofMillis(100));
+    // Too soon for the other's copy to show some of them.
+    Map<String, Integer> answers = submitTogether(1, later);
+    loop.runFor(Duration.ofSeconds(2));
+    assertTrue(Set.of(200, 201).containsAll(answers.values()), answers.toString());
+    kill(0);
+    kill(1);
+    boot(0);
+    maxMachines = 8;
+    loop.runFor(Duration.ofSeconds(240));
+    assertEquals("done", state("wk-000000"));
+    assertEquals("done", state("wk-000039"));
+    assertEquals(JOBS, started.size(), "by the description that was accepted first");
+  }
+}
--- a/src/test/java/io/tansystack/sim/StandInStore.java
+++ b/src/test/java/io/tansystack/sim/StandInStore.java
@@ -28,6 +28,10 @@
   private final Map<Long, Duration> leases = new HashMap<>();
   private final Map<Long, Long> lives = new HashMap<>();
   private long revision;
+
+  /** Items in one page of a list: few, so that a copy is loaded from many. */
+  int pageSize = 5;
+
   private long nextLease = 1;
 
   StandInStore(SimLoop loop) {
@@ -39,6 +43,10 @@
     return entries.containsKey(key) ? entries.get(key).version : 0;
   }
 
+  long keys(String prefix) {
+    return entries.keySet().stream().filter(key -> key.startsWith(prefix)).count();
+  }
+
   /** How often something under the prefix was written. */
   long writes(String prefix) {
     return log.stream().filter(event -> event.key.startsWith(prefix)).count();
@@ -114,13 +122,18 @@
     if (path.startsWith("/store?")) {
       ObjectNode map = Cbor.map();
       ArrayNode pairs = map.putArray("Pairs");
-      entries.forEach(
-          (k, e) -> {
-            if (k.startsWith(query(path, "Starts"))) {
-              pairs.addObject().put("Path", k).put("Stamp", e.version).set("Value", e.value);
-            }
-          });
-      reply.accept(200, map.put("HasNext", false).put("Ledger", revision));
+      boolean more = false;
+      for (Map.Entry<String, Entry> entry : entries.tailMap(query(path, "Since"), false).entrySet()) {
+        if (entry.getKey().startsWith(query(path, "Starts"))) {
+          more = pairs.size() == pageSize;
+          if (more) {
+            break;
+          }
+          Entry e = entry.getValue();
+          pairs.addObject().put("Path", entry.getKey()).put("Stamp", e.version).set("Value", e.value);
+        }
+      }
+      reply.accept(200, map.put("HasNext", more).put("Ledger", revision));
     } else if (path.startsWith("/store/")) {
       Entry e = entries.get(path.substring(7));
       if (e == null) {
