Machines that come up at once are claimed by one record, a lot

Machines without any record that report within 0.7 s share a claim (ts/lots); the earliest lot counts until a machine has a key of its own, and a machine that is gone leaves a mark while a lot names it. Restarts still need no claims (ClusterTest).

--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -5,13 +5,13 @@
 import io.tansystack.cluster.PeerLink;
 import io.tansystack.cluster.SlotDuty;
 import io.tansystack.cluster.StallDetector;
+import io.tansystack.cluster.Sweep;
 import io.tansystack.cluster.World;
 import io.tansystack.fleet.FleetDuty;
 import io.tansystack.fleet.TypeDuty;
 import io.tansystack.http.HttpCaller;
 import io.tansystack.http.HttpServer.Reply;
 import io.tansystack.http.Loop;
-import io.tansystack.jobs.IntakeSweep;
 import io.tansystack.jobs.JobDuty;
 import io.tansystack.jobs.Overseer;
 import io.tansystack.jobs.UserApi;
@@ -62,7 +62,7 @@
   private final JobDuty jobs;
   private final FleetDuty fleet;
   private final UserApi users;
-  private final IntakeSweep sweep;
+  private final Sweep sweep;
   private final Overseer overseer;
   private final Latencies latencies;
   private final Map<String, View> views = new HashMap<>();
@@ -160,7 +160,7 @@
         new UserApi(
             loop, store, world, settings, boot, clock, types::all, this::storeAnswers,
             watcher::confirm);
-    this.sweep = new IntakeSweep(loop, store, world, lease, slots);
+    this.sweep = new Sweep(loop, store, world, lease, slots);
     this.overseer =
         new Overseer(
             loop,
--- /dev/null
+++ b/src/main/java/io/tansystack/cluster/MachineRecord.java
@@ -0,0 +1,60 @@
+package io.tansystack.cluster;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.wire.BadInput;
+import io.tansystack.wire.Cbor;
+import io.tansystack.wire.Read;
+import io.tansystack.wire.StoreWire.Condition;
+
+/**
+ * A machine's record.
+ *
+ * @param inLot whether it stands in a lot only, of which {@code version} is the version
+ */
+public record MachineRecord(
+    String name,
+    String owner,
+    String address,
+    String type,
+    String zone,
+    boolean spot,
+    boolean drain,
+    long version,
+    boolean inLot) {
+
+  static MachineRecord read(String name, ObjectNode value, long version, boolean inLot)
+      throws BadInput {
+    return new MachineRecord(
+        name,
+        Read.text(value, "owner"),
+        Read.text(value, "addr"),
+        Read.text(value, "type"),
+        Read.text(value, "zone"),
+        Read.flag(value, "spot"),
+        Read.flagOr(value, "drain", false),
+        version,
+        inLot);
+  }
+
+  /** Holds as long as nothing has happened to the machine since this record. */
+  public Condition condition() {
+    return new Condition(World.machineKey(name), inLot ? 0 : version);
+  }
+
+  public ObjectNode write() {
+    ObjectNode map = Cbor.map();
+    map.put("owner", owner).put("addr", address).put("type", type);
+    map.put("zone", zone).put("spot", spot).put("drain", drain);
+    return map;
+  }
+
+  /** As it is to be written by a new owner; the version comes with the write. */
+  public MachineRecord ownedBy(String label) {
+    return new MachineRecord(name, label, address, type, zone, spot, drain, 0, false);
+  }
+
+  /** As it is to be written when the machine is to be emptied. */
+  public MachineRecord draining() {
+    return new MachineRecord(name, owner, address, type, zone, spot, true, 0, false);
+  }
+}
--- a/src/main/java/io/tansystack/jobs/IntakeSweep.java
+++ b/src/main/java/io/tansystack/cluster/Sweep.java
@@ -1,28 +1,23 @@
-package io.tansystack.jobs;
+package io.tansystack.cluster;
 
-import io.tansystack.cluster.OwnLease;
-import io.tansystack.cluster.SlotDuty;
-import io.tansystack.cluster.World;
 import io.tansystack.http.Loop;
 import io.tansystack.store.StoreClient;
-import io.tansystack.store.StoreClient.Result;
 import io.tansystack.wire.StoreWire.Condition;
 import io.tansystack.wire.StoreWire.Write;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Removes the records that accepted several jobs once nothing needs them any more. Nothing waits for
- * it, so it takes few writes and only such as are left over; the holder of the first slot does it, and
- * two at a time would do no harm.
+ * Removes records that nothing needs any more: those that accepted several jobs or claimed several
+ * machines, and the marks of machines that are gone. Nothing waits for it, so it takes few writes and
+ * only such as are left over; the holder of the first slot does it, and two at a time would do no harm.
  */
-public final class IntakeSweep {
-  private static final Logger log = LoggerFactory.getLogger(IntakeSweep.class);
+public final class Sweep {
+  private static final Logger log = LoggerFactory.getLogger(Sweep.class);
   private static final Duration EVERY = Duration.ofSeconds(1);
-  private static final int MOST = 2;
+  private static final int MOST = 3;
 
   private final Loop loop;
   private final StoreClient store;
@@ -30,7 +25,7 @@
   private final OwnLease lease;
   private final SlotDuty slots;
 
-  public IntakeSweep(
+  public Sweep(
       Loop loop, StoreClient store, World world, OwnLease lease, SlotDuty slots) {
     this.loop = loop;
     this.store = store;
@@ -52,19 +47,14 @@
 
   private void sweep() {
     int left = MOST;
-    for (Map.Entry<String, Long> over : world.intakesOver().entrySet()) {
+    for (Condition needless : world.needless()) {
       if (left-- == 0 || !store.reserve(1)) {
         return;
       }
-      String key = World.intakeKey(over.getKey());
       store.commitReserved(
-          List.of(new Condition(key, over.getValue())),
-          List.of(new Write(key, null, 0)),
-          (result, revision) -> {
-            if (result == Result.DONE) {
-              log.debug("swept {}", key);
-            }
-          });
+          List.of(needless),
+          List.of(new Write(needless.key(), null, 0)),
+          (result, revision) -> log.debug("removal of {}: {}", needless.key(), result));
     }
   }
 }
--- a/src/main/java/io/tansystack/cluster/World.java
+++ b/src/main/java/io/tansystack/cluster/World.java
@@ -7,6 +7,9 @@
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.Read;
 import io.tansystack.wire.StoreWire.Change;
+import io.tansystack.wire.StoreWire.Condition;
+import io.tansystack.wire.StoreWire.Write;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
@@ -44,35 +47,6 @@
   /** What was asked of the cloud lately; read and written by who deals with it. */
   public record Journal(ObjectNode value, long version) {}
 
-  /** A machine's record. */
-  public record MachineRecord(
-      String name,
-      String owner,
-      String address,
-      String type,
-      String zone,
-      boolean spot,
-      boolean drain,
-      long version) {
-
-    public ObjectNode write() {
-      ObjectNode map = Cbor.map();
-      map.put("owner", owner).put("addr", address).put("type", type);
-      map.put("zone", zone).put("spot", spot).put("drain", drain);
-      return map;
-    }
-
-    /** As it is to be written by a new owner; the version comes with the write. */
-    public MachineRecord ownedBy(String label) {
-      return new MachineRecord(name, label, address, type, zone, spot, drain, 0);
-    }
-
-    /** As it is to be written when the machine is to be emptied. */
-    public MachineRecord draining() {
-      return new MachineRecord(name, owner, address, type, zone, spot, true, 0);
-    }
-  }
-
   /** A job's record with the version of its own key: 0 while it only stands among others' intake. */
   public record Job(JobRecord record, long version, int slot) {
     public String id() {
@@ -97,8 +71,7 @@
   private final Map<String, Job> jobs = new TreeMap<>();
 
   private final Map<String, Job> jobIndex = new HashMap<>();
-  private final Map<String, MachineRecord> machines = new TreeMap<>();
-  private final Map<String, MachineRecord> machineIndex = new HashMap<>();
+  private final Machines machines = new Machines();
   private final Map<String, Long> teams = new HashMap<>();
   private Holder fleet;
   private Journal rentals;
@@ -137,6 +110,16 @@
     return Intakes.write(records);
   }
 
+  /** Sorts after the jobs' keys and before the machines', and has to: see {@link Machines}. */
+  public static String lotKey(String name) {
+    return PREFIX + "lots/" + name;
+  }
+
+  /** The record that claims several machines at once. */
+  public static ObjectNode lot(Collection<MachineRecord> records) {
+    return Machines.lot(records);
+  }
+
   public static String machineKey(String machine) {
     return PREFIX + "machines/" + machine;
   }
@@ -237,12 +220,8 @@
       case "rentals" -> rentals = value == null ? null : new Journal(value, version);
       case "types" -> types = value;
       case "teams" -> put(teams, key.substring(slash + 1), value == null ? null : version);
-      case "machines" -> {
-        MachineRecord machine = value == null ? null : readMachine(name, value, version);
-        put(machines, name, machine);
-        put(machineIndex, name, machine);
-        touchedMachines.add(name);
-      }
+      case "lots" -> machines.putLot(name, value, version, touchedMachines);
+      case "machines" -> machines.putOwn(name, value, version, touchedMachines);
       case "intake" -> intakes.put(name, value, version, finals::containsKey, this::keep);
       case "jobs" -> {
         String id = name.substring(name.indexOf('/') + 1);
@@ -278,19 +257,6 @@
         : new Holder(Read.text(value, "label"), Read.text(value, "boot"), version);
   }
 
-  private static MachineRecord readMachine(String name, ObjectNode value, long version)
-      throws BadInput {
-    return new MachineRecord(
-        name,
-        Read.text(value, "owner"),
-        Read.text(value, "addr"),
-        Read.text(value, "type"),
-        Read.text(value, "zone"),
-        Read.flag(value, "spot"),
-        Read.flagOr(value, "drain", false),
-        version);
-  }
-
   private static <V> void put(Map<String, V> map, String key, V value) {
     if (value == null) {
       map.remove(key);
@@ -342,11 +308,6 @@
     return Collections.unmodifiableMap(jobs);
   }
 
-  /** Records that accepted several jobs and are no longer needed, with their versions. */
-  public Map<String, Long> intakesOver() {
-    return intakes.over();
-  }
-
   public Job job(String id) {
     return jobIndex.get(id);
   }
@@ -357,11 +318,32 @@
   }
 
   public Map<String, MachineRecord> machines() {
-    return Collections.unmodifiableMap(machines);
+    return machines.all();
   }
 
   public MachineRecord machine(String name) {
-    return machineIndex.get(name);
+    return machines.get(name);
+  }
+
+  /** The version of a machine's own key, be it a record or the mark of one that is gone; else 0. */
+  public long machineVersion(String name) {
+    return machines.ownVersion(name);
+  }
+
+  /** What says that a machine is gone, whichever way it was claimed. */
+  public Write gone(String name) {
+    return new Write(machineKey(name), machines.inLot(name) ? Machines.mark() : null, 0);
+  }
+
+  /** Records that nobody needs any more: what accepted or claimed several, and marks of what is gone. */
+  public List<Condition> needless() {
+    List<Condition> needless = new ArrayList<>();
+    intakes.over().forEach((name, version) -> needless.add(new Condition(intakeKey(name), version)));
+    machines.lotsOver().forEach((name, version) -> needless.add(new Condition(lotKey(name), version)));
+    machines
+        .marksOver()
+        .forEach((name, version) -> needless.add(new Condition(machineKey(name), version)));
+    return needless;
   }
 
   public long teamVersion(String team) {
--- a/src/main/java/io/tansystack/fleet/Inventory.java
+++ b/src/main/java/io/tansystack/fleet/Inventory.java
@@ -1,13 +1,13 @@
 package io.tansystack.fleet;
 
+import io.tansystack.cluster.MachineRecord;
 import io.tansystack.cluster.World;
-import io.tansystack.cluster.World.MachineRecord;
 import io.tansystack.http.Loop;
 import io.tansystack.schedule.RentPlanner.Kind;
 import io.tansystack.wire.BadInput;
-import io.tansystack.wire.CloudWire;
 import io.tansystack.wire.CloudWire.Listed;
 import io.tansystack.wire.CloudWire.Status;
+import io.tansystack.wire.CloudWire;
 import io.tansystack.wire.MachineType;
 import io.tansystack.workers.View;
 import java.time.Duration;
--- a/src/main/java/io/tansystack/fleet/Returns.java
+++ b/src/main/java/io/tansystack/fleet/Returns.java
@@ -1,12 +1,11 @@
 package io.tansystack.fleet;
 
+import io.tansystack.cluster.MachineRecord;
 import io.tansystack.cluster.World;
-import io.tansystack.cluster.World.MachineRecord;
 import io.tansystack.http.Loop;
-import io.tansystack.store.StoreClient;
 import io.tansystack.store.StoreClient.Result;
+import io.tansystack.store.StoreClient;
 import io.tansystack.wire.CloudWire;
-import io.tansystack.wire.StoreWire.Condition;
 import io.tansystack.wire.StoreWire.Write;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -75,7 +74,7 @@
     }
     String key = World.machineKey(record.name());
     store.commitUrgent(
-        List.of(new Condition(key, record.version())),
+        List.of(record.condition()),
         List.of(new Write(key, record.draining().write(), 0)),
         Duration.ofSeconds(1),
         (result, revision) -> {
@@ -120,12 +119,14 @@
       returned.remove(returned.iterator().next());
     }
     onReturned.accept(name);
-    if (world.machine(name) == null) {
+    MachineRecord record = world.machine(name);
+    if (record == null) {
       return;
     }
     store.commitUrgent(
-        List.of(),
-        List.of(new Write(World.machineKey(name), null, 0)),
+        // Without it, a deletion decided before the copy showed a lot would uncover what the lot says.
+        List.of(record.condition()),
+        List.of(world.gone(name)),
         Duration.ofSeconds(3),
         (result, revision) -> {
           if (result == Result.DONE) {
--- a/src/main/java/io/tansystack/fleet/Warmth.java
+++ b/src/main/java/io/tansystack/fleet/Warmth.java
@@ -1,14 +1,14 @@
 package io.tansystack.fleet;
 
-import io.tansystack.cluster.World;
+import io.tansystack.cluster.MachineRecord;
 import io.tansystack.cluster.World.Job;
-import io.tansystack.cluster.World.MachineRecord;
+import io.tansystack.cluster.World;
 import io.tansystack.schedule.Consolidation;
 import io.tansystack.schedule.Plan;
 import io.tansystack.schedule.Snapshot;
 import io.tansystack.settings.OperatorSettings;
-import io.tansystack.settings.PlatformSettings;
 import io.tansystack.settings.PlatformSettings.Objective;
+import io.tansystack.settings.PlatformSettings;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.MachineType;
 import io.tansystack.wire.Priority;
--- a/src/main/java/io/tansystack/jobs/JobBook.java
+++ b/src/main/java/io/tansystack/jobs/JobBook.java
@@ -1,18 +1,18 @@
 package io.tansystack.jobs;
 
+import io.tansystack.cluster.MachineRecord;
 import io.tansystack.cluster.PlacementIndex;
 import io.tansystack.cluster.SlotDuty;
-import io.tansystack.cluster.World;
 import io.tansystack.cluster.World.Job;
-import io.tansystack.cluster.World.MachineRecord;
+import io.tansystack.cluster.World;
 import io.tansystack.http.Loop;
 import io.tansystack.schedule.Deadlines;
-import io.tansystack.schedule.Snapshot;
 import io.tansystack.schedule.Snapshot.JobState;
 import io.tansystack.schedule.Snapshot.MachineState;
-import io.tansystack.settings.PlatformSettings;
+import io.tansystack.schedule.Snapshot;
 import io.tansystack.settings.PlatformSettings.Objective;
 import io.tansystack.settings.PlatformSettings.Team;
+import io.tansystack.settings.PlatformSettings;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.MachineType;
 import io.tansystack.wire.Shape;
--- a/src/main/java/io/tansystack/jobs/RoundWriter.java
+++ b/src/main/java/io/tansystack/jobs/RoundWriter.java
@@ -201,9 +201,7 @@
     if (c.places) {
       for (JobRecord.Assignment part : plan.placements().get(id)) {
         if (named.add(World.machineKey(part.machine()))) {
-          conditions.add(
-              new Condition(
-                  World.machineKey(part.machine()), world.machine(part.machine()).version()));
+          conditions.add(world.machine(part.machine()).condition());
         }
       }
     }
--- a/src/main/java/io/tansystack/workers/Claims.java
+++ b/src/main/java/io/tansystack/workers/Claims.java
@@ -1,12 +1,13 @@
 package io.tansystack.workers;
 
+import io.tansystack.cluster.MachineRecord;
 import io.tansystack.cluster.World;
-import io.tansystack.cluster.World.MachineRecord;
 import io.tansystack.http.HttpServer.Reply;
 import io.tansystack.http.Loop;
 import io.tansystack.store.RateBudget;
-import io.tansystack.store.StoreClient;
+import io.tansystack.store.StoreClient.Committed;
 import io.tansystack.store.StoreClient.Result;
+import io.tansystack.store.StoreClient;
 import io.tansystack.wire.Answers;
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.Report;
@@ -17,7 +18,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -37,6 +37,12 @@
 
   private record Claiming(Report report, Reply reply, Duration until) {}
 
+  /** A claim under way, with who waits for it; {@code revision} is that of the write, 0 until it is done. */
+  private static final class Open {
+    final List<Claiming> waiting = new ArrayList<>();
+    long revision;
+  }
+
   private record SentAway(int times, Duration at) {}
 
   private final Loop loop;
@@ -47,7 +53,8 @@
   private final Predicate<String> unfit;
   private final Predicate<MachineRecord> usable;
   private final Claimed claimed;
-  private final Map<String, List<Claiming>> claims = new HashMap<>();
+  private final Map<String, Open> claims = new HashMap<>();
+  private final LotWriter lots;
   private final Map<String, SentAway> sentAway = new HashMap<>();
 
   /** Claims may use a part of the write limit only: after a crash every machine asks at once. */
@@ -62,6 +69,7 @@
       StoreClient store,
       World world,
       String label,
+      String boot,
       String zone,
       double writesPerSecond,
       Predicate<String> unfit,
@@ -75,6 +83,7 @@
     this.unfit = unfit;
     this.usable = usable;
     this.claimed = claimed;
+    this.lots = new LotWriter(loop, store, boot);
     this.claimPace =
         new RateBudget(
             writesPerSecond * CLAIM_SHARE, Math.max(2, writesPerSecond * CLAIM_SHARE * 2), loop.now());
@@ -117,13 +126,14 @@
 
   /** Claims the machine, if it is its turn, and answers the worker after that. */
   void inTurn(MachineRecord record, Report report, Reply reply) {
-    if (!claims.containsKey(report.machine()) && !claimPace.take(1, true, loop.now())) {
+    boolean fresh = record == null && world.machineVersion(report.machine()) == 0;
+    if (!fresh && !claims.containsKey(report.machine()) && !claimPace.take(1, true, loop.now())) {
       // Its former owner may be back before its turn comes, and then nobody need claim it.
       reply.send(503, Cbor.encode(Answers.error("too many machines to claim")));
       return;
     }
     sentAway.remove(report.machine());
-    claim(record, report, reply);
+    claim(record, fresh, report, reply);
   }
 
   private boolean inZone(String controller, String wanted) {
@@ -144,47 +154,58 @@
     return near.isEmpty() ? null : near.get(Math.floorMod(machine.hashCode(), near.size()));
   }
 
-  private void claim(MachineRecord before, Report report, Reply reply) {
-    List<Claiming> waiting = claims.computeIfAbsent(report.machine(), k -> new ArrayList<>());
-    waiting.add(new Claiming(report, reply, loop.now().plus(CLAIM_WAIT)));
-    if (waiting.size() > 1) {
+  private void claim(MachineRecord before, boolean fresh, Report report, Reply reply) {
+    String name = report.machine();
+    Open open = claims.computeIfAbsent(name, k -> new Open());
+    open.waiting.add(new Claiming(report, reply, loop.now().plus(CLAIM_WAIT)));
+    if (open.waiting.size() > 1) {
       return;
     }
     MachineRecord next =
         new MachineRecord(
-            report.machine(),
+            name,
             label,
             report.address(),
             report.type(),
             report.zone(),
             report.spot(),
             before != null && before.drain(),
-            0);
-    write(
-        before,
-        next,
-        "report of session " + report.session() + " token " + report.token(),
-        result -> {
+            0,
+            false);
+    Committed then =
+        (result, revision) -> {
           if (result != Result.DONE) {
-            dropClaims(report.machine());
+            dropClaims(name);
+          } else {
+            open.revision = revision;
+            settle(name);
           }
-        });
+        };
+    if (!fresh) {
+      write(before, next, "report of session " + report.session() + " token " + report.token(), then);
+    } else if (!lots.claim(next, then)) {
+      dropClaims(name);
+    }
   }
 
   private void dropClaims(String name) {
-    List<Claiming> waiting = claims.remove(name);
-    if (waiting != null) {
-      waiting.forEach(
+    Open open = claims.remove(name);
+    if (open != null) {
+      open.waiting.forEach(
           c -> c.reply.send(503, Cbor.encode(Answers.error("the claim did not succeed"))));
     }
   }
 
   /** Writes a new owner, on the condition that nobody else has. */
   void write(
-      MachineRecord before, MachineRecord next, String why, Consumer<Result> then) {
+      MachineRecord before, MachineRecord next, String why, Committed then) {
     String key = World.machineKey(next.name());
+    Condition unchanged =
+        before == null
+            ? new Condition(key, world.machineVersion(next.name())) // The mark of one that was gone.
+            : before.condition();
     store.commitUrgent(
-        List.of(new Condition(key, before == null ? 0 : before.version())),
+        List.of(unchanged),
         List.of(new Write(key, next.write(), 0)),
         Duration.ofSeconds(2),
         (result, revision) -> {
@@ -198,25 +219,34 @@
           } else {
             log.info("claim failed machine={} result={} because={}", next.name(), result, why);
           }
-          then.accept(result);
+          then.done(result, revision);
         });
   }
 
   /** The records have changed: claims may have come true. */
   void worldChanged() {
-    for (String name : List.copyOf(claims.keySet())) {
-      MachineRecord record = world.machine(name);
-      if (usable.test(record)) {
-        List<Claiming> waiting = claims.remove(name);
-        waiting.forEach(c -> claimed.accept(record, c.report, c.reply));
-      }
+    List.copyOf(claims.keySet()).forEach(this::settle);
+  }
+
+  /** Another's lot may have named the machine earlier: then this claim never comes true. */
+  private void settle(String name) {
+    Open open = claims.get(name);
+    MachineRecord record = world.machine(name);
+    if (open == null) {
+      return;
+    }
+    if (usable.test(record)) {
+      claims.remove(name);
+      open.waiting.forEach(c -> claimed.accept(record, c.report, c.reply));
+    } else if (open.revision > 0 && world.revision() >= open.revision) {
+      dropClaims(name);
     }
   }
 
   /** Gives up on what has taken too long. */
   void tick(Duration now) {
     for (String name : List.copyOf(claims.keySet())) {
-      List<Claiming> waiting = claims.get(name);
+      List<Claiming> waiting = claims.get(name).waiting;
       if (!waiting.isEmpty() && now.compareTo(waiting.get(0).until) > 0) {
         dropClaims(name);
       }
@@ -232,6 +262,6 @@
         orphan,
         orphan.ownedBy(label),
         "its owner has ended and it reports to nobody",
-        result -> {});
+        (result, revision) -> {});
   }
 }
--- a/src/main/java/io/tansystack/workers/Proofs.java
+++ b/src/main/java/io/tansystack/workers/Proofs.java
@@ -1,13 +1,12 @@
 package io.tansystack.workers;
 
-import io.tansystack.cluster.World;
-import io.tansystack.cluster.World.MachineRecord;
-import io.tansystack.jobs.JobRecord;
+import io.tansystack.cluster.MachineRecord;
 import io.tansystack.jobs.JobRecord.Over;
+import io.tansystack.jobs.JobRecord;
 import io.tansystack.jobs.Placement;
 import io.tansystack.wire.StoreWire.Condition;
-import io.tansystack.wire.TaskReport;
 import io.tansystack.wire.TaskReport.Cause;
+import io.tansystack.wire.TaskReport;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
@@ -71,7 +70,7 @@
           }
         }
       }
-      Condition owner = new Condition(World.machineKey(p.machine()), machine.version());
+      Condition owner = machine.condition();
       if (view.token() != tokens.applyAsLong(machine)
           || (conditions.size() >= maxConditions && !conditions.contains(owner))) {
         continue;
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -1,16 +1,16 @@
 package io.tansystack.workers;
 
 import com.google.common.collect.Sets;
+import io.tansystack.cluster.MachineRecord;
 import io.tansystack.cluster.OwnLease;
-import io.tansystack.cluster.World;
 import io.tansystack.cluster.World.Job;
-import io.tansystack.cluster.World.MachineRecord;
+import io.tansystack.cluster.World;
 import io.tansystack.http.HttpCaller;
 import io.tansystack.http.HttpServer.Reply;
 import io.tansystack.http.Loop;
 import io.tansystack.schedule.MachineHistory;
-import io.tansystack.store.StoreClient;
 import io.tansystack.store.StoreClient.Result;
+import io.tansystack.store.StoreClient;
 import io.tansystack.wire.Addresses;
 import io.tansystack.wire.Answers;
 import io.tansystack.wire.BadInput;
@@ -20,7 +20,6 @@
 import io.tansystack.wire.Report;
 import io.tansystack.wire.ReportHead;
 import io.tansystack.wire.StoreWire.Condition;
-import io.tansystack.wire.StoreWire.Write;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -48,11 +47,9 @@
   /** Workers try one controller after the other, and each report has 4 s. */
   private static final Duration COME_BACK = Duration.ofSeconds(10);
 
-
   /** More machines than this part falling silent at once speaks of us or the network, not of them. */
   public static final double MASS = 0.34;
 
-
   private final Loop loop;
   private final StoreClient store;
   private final World world;
@@ -100,7 +97,7 @@
     this.listeningSince = loop.now();
     this.claims =
         new Claims(
-            loop, store, world, label, zone, writesPerSecond, unfit, this::usable, this::accept);
+            loop, store, world, label, boot, zone, writesPerSecond, unfit, this::usable, this::accept);
     this.orders = new Orders(loop, caller, world, this::take, this::tendIfOwned);
     this.telling = new Telling(publish);
   }
@@ -305,14 +302,13 @@
     boolean doubtful = machine.goneVersion == record.version();
     machine.claiming = true;
     machine.goneVersion = record.version();
-    String key = World.machineKey(machine.name);
     store.commitUrgent(
         // The second condition voids what an earlier start of this process may still have under way:
         // the machine may have come back since, under the same record.
         List.of(
-            new Condition(key, record.version()),
+            record.condition(),
             new Condition(World.controllerKey(label), world.controllers().get(label).version())),
-        List.of(new Write(key, null, 0)),
+        List.of(world.gone(machine.name)),
         Duration.ofSeconds(2),
         (result, revision) -> {
           machine.claiming = false;
@@ -377,7 +373,7 @@
         record,
         record.ownedBy(label),
         "commands without an answer under token " + machine.doubtfulToken,
-        result -> {
+        (result, revision) -> {
           machine.claiming = false;
           if (result != Result.DONE) {
             machine.quietUntil = loop.now().plusMillis(500);
--- a/src/test/java/io/tansystack/cluster/IntakesTest.java
+++ b/src/test/java/io/tansystack/cluster/IntakesTest.java
@@ -87,6 +87,6 @@
             : world.finalPhase(ID) != null ? "0" : "-";
     assertEquals(tasks, stands);
     assertEquals(version, job == null ? 0 : job.version());
-    assertEquals(over, world.intakesOver().size());
+    assertEquals(over, world.needless().size());
   }
 }
--- a/src/test/java/io/tansystack/fleet/RentalsTest.java
+++ b/src/test/java/io/tansystack/fleet/RentalsTest.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.cluster.MachineRecord;
 import io.tansystack.cluster.World;
 import io.tansystack.http.HttpCaller;
 import io.tansystack.schedule.Plan.Unmet;
@@ -188,7 +189,7 @@
     change(World.controllerKey("c"), Cbor.map().put("boot", "boot").put("zone", "a"));
     change(
         World.machineKey("n-0"),
-        new World.MachineRecord("n-0", "c", "127.0.0.1:9", "small", "a", false, false, 0).write());
+        new MachineRecord("n-0", "c", "127.0.0.1:9", "small", "a", false, false, 0, false).write());
     change(World.RENTALS_KEY, Cbor.map().set("requests", Cbor.map().arrayNode()));
     newHolder();
     lacking(8, 7);
--- a/src/test/java/io/tansystack/sim/ClusterTest.java
+++ b/src/test/java/io/tansystack/sim/ClusterTest.java
@@ -94,8 +94,10 @@
     submit("wk-000001", 40);
     loop.runFor(Duration.ofSeconds(15));
     Map<String, Long> before = new HashMap<>();
-    workers.keySet().forEach(name -> before.put(name, store.version("ts/machines/" + name)));
-    assertTrue(before.values().stream().filter(version -> version > 0).count() > 1);
+    workers.values().forEach(worker -> before.put(worker.name, worker.token));
+    assertTrue(before.values().stream().filter(token -> token > 0).count() > 1);
+    long writes = store.writes("ts/machines/") + store.writes("ts/lots/");
+    assertTrue(writes > 0 && writes < before.size(), writes + " writes for " + before.size());
     for (int i = 0; i < 3; i++) {
       kill(i);
     }
@@ -104,8 +106,7 @@
       boot(i);
     }
     loop.runFor(Duration.ofSeconds(12));
-    before.forEach(
-        (name, version) -> assertEquals(version, store.version("ts/machines/" + name), name));
+    assertEquals(writes, store.writes("ts/machines/") + store.writes("ts/lots/"));
     for (StandInWorker worker : workers.values()) {
       assertTrue(worker.token > before.get(worker.name), "told apart from the earlier start");
     }
--- a/src/test/java/io/tansystack/sim/StandInStore.java
+++ b/src/test/java/io/tansystack/sim/StandInStore.java
@@ -39,10 +39,6 @@
     expire();
   }
 
-  long version(String key) {
-    return entries.containsKey(key) ? entries.get(key).version : 0;
-  }
-
   long keys(String prefix) {
     return entries.keySet().stream().filter(key -> key.startsWith(prefix)).count();
   }
--- a/src/test/java/io/tansystack/workers/ProofsTest.java
+++ b/src/test/java/io/tansystack/workers/ProofsTest.java
@@ -2,18 +2,18 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.tansystack.cluster.World.MachineRecord;
-import io.tansystack.jobs.JobRecord;
+import io.tansystack.cluster.MachineRecord;
 import io.tansystack.jobs.JobRecord.Assignment;
+import io.tansystack.jobs.JobRecord;
 import io.tansystack.jobs.TaskSet;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.Priority;
 import io.tansystack.wire.Report;
 import io.tansystack.wire.Shape;
 import io.tansystack.wire.TaskId;
-import io.tansystack.wire.TaskReport;
 import io.tansystack.wire.TaskReport.Cause;
 import io.tansystack.wire.TaskReport.State;
+import io.tansystack.wire.TaskReport;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -28,7 +28,7 @@
 class ProofsTest {
   private static final long TOKEN = 50;
   private static final MachineRecord MACHINE =
-      new MachineRecord("n-1", "c-0", "127.0.0.1:1", "g8", "a", false, false, TOKEN);
+      new MachineRecord("n-1", "c-0", "127.0.0.1:1", "g8", "a", false, false, TOKEN, false);
 
   /** Task 0 of wk-1 on n-1 in session 2, attempt 1. */
   private static final JobRecord RECORD =
@@ -95,7 +95,7 @@
               "wk-1",
               record,
               m -> view(2, TOKEN, List.of(new View.Void("wk-1", Integer.parseInt(m.substring(2)), 1))),
-              m -> MACHINE,
+              m -> new MachineRecord(m, "c-0", "127.0.0.1:1", "g8", "a", false, false, TOKEN, false),
               MachineRecord::version,
               2);
       assertEquals(Math.min(2, record.placements().size()), proofs.conditions().size());
