--- a/src/main/java/io/tansystack/cli/ControllerProcess.java
+++ b/src/main/java/io/tansystack/cli/ControllerProcess.java
@@ -1,9 +1,9 @@
 package io.tansystack.cli;
 
-import io.tansystack.cluster.PeerLink;
 import io.tansystack.http.HttpServer;
 import io.tansystack.http.UndertowCaller;
 import io.tansystack.http.XnioLoop;
+import io.tansystack.peers.PeerLink;
 import io.tansystack.settings.OperatorSettings;
 import io.tansystack.settings.PlatformSettings;
 import io.undertow.server.DefaultByteBufferPool;
--- a/src/main/java/io/tansystack/cluster/Intakes.java
+++ b/src/main/java/io/tansystack/cluster/Intakes.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.cluster.World.Job;
-import io.tansystack.jobs.JobRecord;
+import io.tansystack.records.JobRecord;
 import io.tansystack.wire.BadInput;
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.Read;
--- a/src/main/java/io/tansystack/cluster/PlacementIndex.java
+++ b/src/main/java/io/tansystack/cluster/PlacementIndex.java
@@ -1,7 +1,7 @@
 package io.tansystack.cluster;
 
 import io.tansystack.cluster.World.Job;
-import io.tansystack.jobs.Placement;
+import io.tansystack.records.Placement;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
--- a/src/main/java/io/tansystack/cluster/World.java
+++ b/src/main/java/io/tansystack/cluster/World.java
@@ -1,7 +1,7 @@
 package io.tansystack.cluster;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.tansystack.jobs.JobRecord;
+import io.tansystack.records.JobRecord;
 import io.tansystack.store.Watcher;
 import io.tansystack.wire.BadInput;
 import io.tansystack.wire.Cbor;
--- a/src/main/java/io/tansystack/jobs/JobBook.java
+++ b/src/main/java/io/tansystack/jobs/JobBook.java
@@ -6,6 +6,7 @@
 import io.tansystack.cluster.World.Job;
 import io.tansystack.cluster.World;
 import io.tansystack.http.Loop;
+import io.tansystack.records.JobRecord;
 import io.tansystack.schedule.Deadlines;
 import io.tansystack.schedule.Snapshot.JobState;
 import io.tansystack.schedule.Snapshot.MachineState;
--- a/src/main/java/io/tansystack/jobs/JobDuty.java
+++ b/src/main/java/io/tansystack/jobs/JobDuty.java
@@ -2,13 +2,14 @@
 
 import io.tansystack.cluster.OwnLease;
 import io.tansystack.cluster.SlotDuty;
-import io.tansystack.cluster.World;
 import io.tansystack.cluster.World.Job;
+import io.tansystack.cluster.World;
 import io.tansystack.http.Loop;
+import io.tansystack.records.RecordLimit;
 import io.tansystack.schedule.Plan;
 import io.tansystack.schedule.Planner;
-import io.tansystack.schedule.Snapshot;
 import io.tansystack.schedule.Snapshot.MachineState;
+import io.tansystack.schedule.Snapshot;
 import io.tansystack.settings.PlatformSettings;
 import io.tansystack.store.StoreClient;
 import io.tansystack.wire.MachineType;
--- a/src/main/java/io/tansystack/jobs/Lookup.java
+++ b/src/main/java/io/tansystack/jobs/Lookup.java
@@ -1,10 +1,11 @@
 package io.tansystack.jobs;
 
-import io.tansystack.cluster.World;
 import io.tansystack.cluster.World.Job;
+import io.tansystack.cluster.World;
 import io.tansystack.http.Loop;
-import io.tansystack.store.StoreClient;
+import io.tansystack.records.JobRecord;
 import io.tansystack.store.StoreClient.Got;
+import io.tansystack.store.StoreClient;
 import io.tansystack.wire.BadInput;
 import io.tansystack.wire.StoreWire.Change;
 import java.time.Duration;
--- a/src/main/java/io/tansystack/jobs/Overseer.java
+++ b/src/main/java/io/tansystack/jobs/Overseer.java
@@ -1,9 +1,10 @@
 package io.tansystack.jobs;
 
 import io.tansystack.cluster.SlotDuty;
-import io.tansystack.cluster.World;
 import io.tansystack.cluster.World.Job;
+import io.tansystack.cluster.World;
 import io.tansystack.http.Loop;
+import io.tansystack.records.JobRecord;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.Shape;
 import java.time.Duration;
--- a/src/main/java/io/tansystack/jobs/UserApi.java
+++ b/src/main/java/io/tansystack/jobs/UserApi.java
@@ -1,14 +1,15 @@
 package io.tansystack.jobs;
 
-import io.tansystack.cluster.World;
 import io.tansystack.cluster.World.Job;
+import io.tansystack.cluster.World;
 import io.tansystack.http.HttpServer.Reply;
 import io.tansystack.http.Loop;
 import io.tansystack.jobs.Lookup.Found;
+import io.tansystack.records.JobRecord;
 import io.tansystack.settings.PlatformSettings;
 import io.tansystack.store.StoreClient;
-import io.tansystack.wire.Answers;
 import io.tansystack.wire.Answers.JobState;
+import io.tansystack.wire.Answers;
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.MachineType;
--- a/src/main/java/io/tansystack/cluster/PeerLink.java
+++ b/src/main/java/io/tansystack/peers/PeerLink.java
@@ -1,4 +1,4 @@
-package io.tansystack.cluster;
+package io.tansystack.peers;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/src/main/java/io/tansystack/jobs/JobRecord.java
+++ b/src/main/java/io/tansystack/records/JobRecord.java
@@ -1,4 +1,4 @@
-package io.tansystack.jobs;
+package io.tansystack.records;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -42,7 +42,7 @@
     }
 
     /** What users are told of a job in a final phase. */
-    JobState state() {
+    public JobState state() {
       return this == DONE ? JobState.DONE : JobState.CANCELLED;
     }
   }
--- a/src/main/java/io/tansystack/jobs/Placement.java
+++ b/src/main/java/io/tansystack/records/Placement.java
@@ -1,4 +1,4 @@
-package io.tansystack.jobs;
+package io.tansystack.records;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
--- a/src/main/java/io/tansystack/jobs/RecordLimit.java
+++ b/src/main/java/io/tansystack/records/RecordLimit.java
@@ -1,4 +1,4 @@
-package io.tansystack.jobs;
+package io.tansystack.records;
 
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.JobSpec;
--- a/src/main/java/io/tansystack/jobs/TaskSet.java
+++ b/src/main/java/io/tansystack/records/TaskSet.java
@@ -1,4 +1,4 @@
-package io.tansystack.jobs;
+package io.tansystack.records;
 
 import java.util.BitSet;
 import java.util.function.IntConsumer;
--- a/src/main/java/io/tansystack/schedule/Deadlines.java
+++ b/src/main/java/io/tansystack/schedule/Deadlines.java
@@ -1,6 +1,6 @@
 package io.tansystack.schedule;
 
-import io.tansystack.jobs.JobRecord;
+import io.tansystack.records.JobRecord;
 import io.tansystack.settings.PlatformSettings.Objective;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.Shape;
--- a/src/main/java/io/tansystack/schedule/Plan.java
+++ b/src/main/java/io/tansystack/schedule/Plan.java
@@ -1,7 +1,7 @@
 package io.tansystack.schedule;
 
-import io.tansystack.jobs.JobRecord.Assignment;
-import io.tansystack.jobs.TaskSet;
+import io.tansystack.records.JobRecord.Assignment;
+import io.tansystack.records.TaskSet;
 import io.tansystack.wire.JobSpec;
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/io/tansystack/schedule/Planner.java
+++ b/src/main/java/io/tansystack/schedule/Planner.java
@@ -1,9 +1,9 @@
 package io.tansystack.schedule;
 
-import io.tansystack.jobs.JobRecord;
-import io.tansystack.jobs.JobRecord.Assignment;
-import io.tansystack.jobs.Placement;
-import io.tansystack.jobs.TaskSet;
+import io.tansystack.records.JobRecord.Assignment;
+import io.tansystack.records.JobRecord;
+import io.tansystack.records.Placement;
+import io.tansystack.records.TaskSet;
 import io.tansystack.schedule.Plan.Unmet;
 import io.tansystack.schedule.Room.Held;
 import io.tansystack.schedule.Snapshot.JobState;
--- a/src/main/java/io/tansystack/schedule/Preemption.java
+++ b/src/main/java/io/tansystack/schedule/Preemption.java
@@ -1,7 +1,7 @@
 package io.tansystack.schedule;
 
-import io.tansystack.jobs.Placement;
-import io.tansystack.jobs.TaskSet;
+import io.tansystack.records.Placement;
+import io.tansystack.records.TaskSet;
 import io.tansystack.schedule.Plan.Stop;
 import io.tansystack.schedule.Room.Held;
 import io.tansystack.schedule.Snapshot.JobState;
--- a/src/main/java/io/tansystack/schedule/Room.java
+++ b/src/main/java/io/tansystack/schedule/Room.java
@@ -1,6 +1,6 @@
 package io.tansystack.schedule;
 
-import io.tansystack.jobs.Placement;
+import io.tansystack.records.Placement;
 import io.tansystack.schedule.Snapshot.JobState;
 import io.tansystack.schedule.Snapshot.MachineState;
 import io.tansystack.wire.JobSpec;
--- a/src/main/java/io/tansystack/workers/Orders.java
+++ b/src/main/java/io/tansystack/workers/Orders.java
@@ -1,11 +1,11 @@
 package io.tansystack.workers;
 
-import io.tansystack.cluster.World;
-import io.tansystack.cluster.World.Job;
 import io.tansystack.cluster.PlacementIndex.Placed;
+import io.tansystack.cluster.World.Job;
+import io.tansystack.cluster.World;
 import io.tansystack.http.HttpCaller;
 import io.tansystack.http.Loop;
-import io.tansystack.jobs.Placement;
+import io.tansystack.records.Placement;
 import io.tansystack.wire.BadInput;
 import io.tansystack.wire.Command;
 import io.tansystack.wire.Report;
--- a/src/main/java/io/tansystack/workers/Proofs.java
+++ b/src/main/java/io/tansystack/workers/Proofs.java
@@ -1,9 +1,9 @@
 package io.tansystack.workers;
 
 import io.tansystack.cluster.MachineRecord;
-import io.tansystack.jobs.JobRecord.Over;
-import io.tansystack.jobs.JobRecord;
-import io.tansystack.jobs.Placement;
+import io.tansystack.records.JobRecord.Over;
+import io.tansystack.records.JobRecord;
+import io.tansystack.records.Placement;
 import io.tansystack.wire.StoreWire.Condition;
 import io.tansystack.wire.TaskReport.Cause;
 import io.tansystack.wire.TaskReport;
--- a/src/main/java/io/tansystack/workers/View.java
+++ b/src/main/java/io/tansystack/workers/View.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.tansystack.jobs.TaskSet;
+import io.tansystack.records.TaskSet;
 import io.tansystack.wire.BadInput;
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.Read;
--- a/src/test/java/io/tansystack/cluster/IntakesTest.java
+++ b/src/test/java/io/tansystack/cluster/IntakesTest.java
@@ -4,8 +4,8 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.cluster.World.Job;
-import io.tansystack.jobs.JobRecord;
-import io.tansystack.jobs.TaskSet;
+import io.tansystack.records.JobRecord;
+import io.tansystack.records.TaskSet;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.Priority;
 import io.tansystack.wire.Shape;
--- a/src/test/java/io/tansystack/jobs/JobRecordTest.java
+++ b/src/test/java/io/tansystack/records/JobRecordTest.java
@@ -1,4 +1,4 @@
-package io.tansystack.jobs;
+package io.tansystack.records;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -7,9 +7,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.TextNode;
-import io.tansystack.jobs.JobRecord.Assignment;
-import io.tansystack.jobs.JobRecord.Over;
-import io.tansystack.jobs.JobRecord.Phase;
+import io.tansystack.records.JobRecord.Assignment;
+import io.tansystack.records.JobRecord.Over;
+import io.tansystack.records.JobRecord.Phase;
 import io.tansystack.wire.Answers.JobState;
 import io.tansystack.wire.BadInput;
 import io.tansystack.wire.Cbor;
--- a/src/test/java/io/tansystack/schedule/ConsolidationTest.java
+++ b/src/test/java/io/tansystack/schedule/ConsolidationTest.java
@@ -2,9 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.tansystack.jobs.JobRecord;
-import io.tansystack.jobs.JobRecord.Assignment;
-import io.tansystack.jobs.TaskSet;
+import io.tansystack.records.JobRecord.Assignment;
+import io.tansystack.records.JobRecord;
+import io.tansystack.records.TaskSet;
 import io.tansystack.schedule.Snapshot.JobState;
 import io.tansystack.schedule.Snapshot.MachineState;
 import io.tansystack.wire.JobSpec;
--- a/src/test/java/io/tansystack/schedule/PlannerTest.java
+++ b/src/test/java/io/tansystack/schedule/PlannerTest.java
@@ -5,9 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.tansystack.jobs.JobRecord;
-import io.tansystack.jobs.JobRecord.Assignment;
-import io.tansystack.jobs.TaskSet;
+import io.tansystack.records.JobRecord.Assignment;
+import io.tansystack.records.JobRecord;
+import io.tansystack.records.TaskSet;
 import io.tansystack.schedule.Snapshot.JobState;
 import io.tansystack.schedule.Snapshot.MachineState;
 import io.tansystack.settings.OperatorSettings;
--- a/src/test/java/io/tansystack/workers/ProofsTest.java
+++ b/src/test/java/io/tansystack/workers/ProofsTest.java
@@ -3,9 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.tansystack.cluster.MachineRecord;
-import io.tansystack.jobs.JobRecord.Assignment;
-import io.tansystack.jobs.JobRecord;
-import io.tansystack.jobs.TaskSet;
+import io.tansystack.records.JobRecord.Assignment;
+import io.tansystack.records.JobRecord;
+import io.tansystack.records.TaskSet;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.Priority;
 import io.tansystack.wire.Report;
