--- a/src/main/java/io/tansystack/schedule/Planner.java
+++ b/src/main/java/io/tansystack/schedule/Planner.java
@@ -42,15 +42,13 @@
   private final Map<String, Room> rooms = new LinkedHashMap<>();
   private final TeamUse teams;
   private final AcceleratorKeep keep;
+  private final Candidates candidates;
   private final Plan plan = new Plan(new LinkedHashMap<>(), new LinkedHashMap<>(), new ArrayList<>());
   private final Preemption preemption;
 
   /** Replicas that are being stopped; they come back elsewhere. */
   private int replicasMoving;
 
-  /** What found no machine at all in this pass: room only shrinks while it goes on. */
-  private final List<Ask> fullFor = new ArrayList<>();
-
   /** For what no room could be made in this pass, by priority: nor can it for what asks for more. */
   private final Map<Priority, List<Ask>> notMadeFor = new EnumMap<>(Priority.class);
 
@@ -64,6 +62,7 @@
     }
     this.teams = new TeamUse(snapshot.teams());
     this.keep = new AcceleratorKeep(rooms.values(), snapshot.booting());
+    this.candidates = new Candidates(rooms.values(), keep);
     this.preemption = new Preemption(teams, plan);
   }
 
@@ -85,7 +84,7 @@
             .thenComparing(JobState::id));
     teams.markGuaranteed(order);
     order = byPriority(order);
-    ReplicaMoves moves = new ReplicaMoves(rooms, keep, plan, this::candidates);
+    ReplicaMoves moves = new ReplicaMoves(rooms, keep, plan, candidates::of);
     boolean moved = false;
     for (JobState job : order) {
       if (!moved && job.record().spec().priority() == Priority.LOW) {
@@ -187,59 +186,6 @@
     }
   }
 
-  private static boolean allowed(JobState job, Room room) {
-    MachineState m = room.machine;
-    return m.open()
-        && job.record().spec().allows(m.type().name(), m.zone(), m.spot())
-        && !job.avoid().contains(m.name());
-  }
-
-  private record Scored(Room room, int tier, double delivery, double slack)
-      implements Comparable<Scored> {
-    @Override
-    public int compareTo(Scored o) {
-      int order = Integer.compare(tier, o.tier);
-      order = order != 0 ? order : Double.compare(delivery, o.delivery);
-      order = order != 0 ? order : Double.compare(slack, o.slack);
-      return order != 0 ? order : room.machine.name().compareTo(o.room.machine.name());
-    }
-  }
-
-  /**
-   * Fitting machines, best first. Machines with accelerators come after the others for tasks that
-   * need none, unless what they take leaves the accelerators usable: otherwise the cheap tasks would
-   * keep gangs from their only machines. Equal predictions are decided towards fuller machines.
-   */
-  private List<Room> candidates(JobState job) {
-    JobSpec spec = job.record().spec();
-    Ask ask = Ask.of(spec);
-    for (Ask full : fullFor) {
-      if (ask.asksNoLessThan(full)) {
-        return List.of();
-      }
-    }
-    keep.nextJob();
-    List<Scored> scored = new ArrayList<>();
-    boolean full = job.avoid().isEmpty();
-    for (Room room : rooms.values()) {
-      if (room.fitsOne(spec) && allowed(job, room)) {
-        full = false; // Room that is kept for others may be theirs who ask for more.
-        boolean spoils = keep.spoils(spec, room);
-        if (!spoils || !keep.keptForOthers(room)) {
-          scored.add(
-              new Scored(room, spoils ? 1 : 0, room.delivery(spec), room.cpus - spec.cpus()));
-        }
-      }
-    }
-    if (full) {
-      fullFor.add(ask);
-    }
-    scored.sort(null);
-    List<Room> result = new ArrayList<>(scored.size());
-    scored.forEach(s -> result.add(s.room()));
-    return result;
-  }
-
   private static void assign(Map<String, BitSet> chosen, Room room, JobSpec spec, int task) {
     room.place(spec);
     chosen.computeIfAbsent(room.machine.name(), k -> new BitSet()).set(task);
@@ -260,15 +206,15 @@
   private Map<String, BitSet> placeEach(JobState job, int[] tasks) {
     JobSpec spec = job.record().spec();
     Map<String, BitSet> chosen = new LinkedHashMap<>();
-    List<Room> candidates = candidates(job);
-    if (candidates.isEmpty()) {
+    List<Room> found = candidates.of(job);
+    if (found.isEmpty()) {
       return chosen;
     }
     Object2IntOpenHashMap<String> zones = zones(job.record(), rooms);
     int most = Math.min(maxMachines, maxPlacements - job.record().placements().size());
     int i = 0;
     if (!byZone(spec)) {
-      for (Room room : candidates) {
+      for (Room room : found) {
         while (i < tasks.length && room.fitsOne(spec)) {
           if (keep.waitsForComing(spec, room)) {
             i++;
@@ -283,7 +229,7 @@
       return chosen;
     }
     Map<String, List<Room>> byZone = new LinkedHashMap<>();
-    for (Room room : candidates) {
+    for (Room room : found) {
       byZone.computeIfAbsent(room.machine.zone(), k -> new ArrayList<>()).add(room);
     }
     Object2IntOpenHashMap<String> next = new Object2IntOpenHashMap<>();
@@ -328,16 +274,16 @@
     if (tasks.length < spec.tasks()) {
       return Map.of();
     }
-    List<Room> candidates = candidates(job);
+    List<Room> found = candidates.of(job);
     Set<String> zoneChoices = new TreeSet<>();
-    candidates.forEach(room -> zoneChoices.add(room.machine.zone()));
+    found.forEach(room -> zoneChoices.add(room.machine.zone()));
     List<Room> best = null;
     double bestDelivery = Double.MAX_VALUE;
     for (String only : spec.sameZone() ? List.copyOf(zoneChoices) : List.of("")) {
       List<Room> picks = new ArrayList<>();
       Object2IntOpenHashMap<String> zones = new Object2IntOpenHashMap<>();
       double slowest = 0;
-      for (Room room : candidates) {
+      for (Room room : found) {
         String zone = room.machine.zone();
         if (spec.sameZone() && !zone.equals(only)) {
           continue;
@@ -383,7 +329,7 @@
     List<Room> allowed = new ArrayList<>(rooms.size());
     for (Room room : rooms.values()) {
       // Room that the task was kept out of stays free for whom it is kept.
-      if ((mayPreempt || room.fitsSoon(spec)) && allowed(job, room) && !keep.spoils(spec, room)) {
+      if ((mayPreempt || room.fitsSoon(spec)) && Candidates.allowed(job, room) && !keep.spoils(spec, room)) {
         allowed.add(room);
       }
     }
