--- a/src/main/java/io/tansystack/jobs/Intake.java
+++ b/src/main/java/io/tansystack/jobs/Intake.java
@@ -30,9 +30,12 @@
 
   private static final Duration RETRY = Duration.ofMillis(25);
 
-  /** All submissions together leave this much of the write limit to others while they are gathered. */
+  /** All submissions together leave this much of the write limit to others while they are gathered, */
   private static final double SHARE = 0.5;
 
+  /** but nobody is kept waiting for others longer than this. */
+  private static final Duration LONGEST = Duration.ofMillis(120);
+
   /** Of a value, the rest for the names around its entries. */
   private static final double FILLED = 0.9;
 
@@ -54,7 +57,8 @@
     this.store = store;
     this.boot = boot;
     PlatformSettings.State limits = settings.store();
-    double perSecond = limits.writeRps() * SHARE / settings.size();
+    double perSecond =
+        Math.max(limits.writeRps() * SHARE / settings.size(), 1000.0 / LONGEST.toMillis());
     this.pace = new RateBudget(perSecond, Math.max(2, perSecond), loop.now());
     // A condition for each job, and one for the record itself.
     this.maxJobs = limits.txnOps() * 4 - 1;
