What is unknown is denied at once, not with the next change of the records

Since a read of its own key alone can't deny a job any more, a bad body or a cancellation of an unknown job waited for the copy to be confirmed, up to 200 ms and more where nothing changes. The confirmation is asked for at once.

--- a/src/main/java/io/tansystack/jobs/Lookup.java
+++ b/src/main/java/io/tansystack/jobs/Lookup.java
@@ -132,6 +132,7 @@
             }
           }
         });
+    confirm.run(); // Whoever asks for what is not there need not wait for the next change.
   }
 
   /**
--- a/src/main/java/io/tansystack/jobs/UserApi.java
+++ b/src/main/java/io/tansystack/jobs/UserApi.java
@@ -118,7 +118,15 @@
             progress(id, job.record(), once);
           } else {
             // The copy forgets old outcomes; only the state service can deny a job.
-            lookup.find(id, at, new Progress(id, once));
+            lookup.find(
+                id,
+                at,
+                new ForUser(once) {
+                  @Override
+                  public void take(JobRecord record, long version) {
+                    progress(id, record, once);
+                  }
+                });
           }
         });
   }
@@ -131,15 +139,17 @@
     return phase != null;
   }
 
-  private record Progress(String id, Once once) implements Found {
-    @Override
-    public void take(JobRecord record, long version) {
-      progress(id, record, once);
+  /** Answers a user where there is no such job, or nobody knows. */
+  private abstract static class ForUser implements Found {
+    private final Once once;
+
+    ForUser(Once once) {
+      this.once = once;
     }
 
     @Override
     public void absent() {
-      noSuchJob(once);
+      once.send(404, Answers.error("no such job"));
     }
 
     @Override
@@ -148,10 +158,6 @@
     }
   }
 
-  private static void noSuchJob(Once once) {
-    once.send(404, Answers.error("no such job"));
-  }
-
   private static void progress(String id, JobRecord record, Once once) {
     once.send(
         200,
@@ -186,7 +192,7 @@
     lookup.find(
         id,
         loop.now(),
-        new Found() {
+        new ForUser(once) {
           @Override
           public void take(JobRecord record, long version) {
             if (record.active()) {
@@ -195,16 +201,6 @@
               once.send(200, Answers.job(id, record.state()));
             }
           }
-
-          @Override
-          public void absent() {
-            noSuchJob(once);
-          }
-
-          @Override
-          public void unsure(String why) {
-            once.unsure(why);
-          }
         });
   }
 
--- a/src/test/java/io/tansystack/sim/IntakeTest.java
+++ b/src/test/java/io/tansystack/sim/IntakeTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 
@@ -66,6 +67,22 @@
     assertEquals(0, store.keys("ts/intake/"), "nothing needs them any more");
   }
 
+  @Test
+  void whatIsUnknownIsDeniedAtOnceWhileNothingChanges() throws Exception {
+    boot(0);
+    loop.runFor(Duration.ofSeconds(10));
+    Map<String, Duration> told = new TreeMap<>();
+    byte[] bad = Cbor.encode(Cbor.map().put("Uid", "wk-000099").put("Wagons", "many"));
+    Duration asked = loop.now();
+    processes.get(0).run(() -> controllers.get(0).front("POST", "/v1/jobs", bad,
+        (status, bytes, r) -> told.put("bad " + status, loop.now().minus(asked))));
+    processes.get(0).run(() -> controllers.get(0).front("POST", "/v1/jobs/wk-000098/abort", new byte[0],
+        (status, bytes, r) -> told.put("abort " + status, loop.now().minus(asked))));
+    loop.runFor(Duration.ofSeconds(3));
+    assertEquals(Set.of("bad 400", "abort 404"), told.keySet());
+    told.forEach((what, after) -> assertTrue(after.toMillis() <= 50, what + " after " + after));
+  }
+
   @Test
   void ofTwoThatAcceptOneIdTheFirstCounts() throws Exception {
     controllerCount = 2;
