--- a/src/main/java/io/tansystack/settings/TomlTable.java
+++ b/src/main/java/io/tansystack/settings/TomlTable.java
@@ -42,7 +42,12 @@
     }
   }
 
-  private String key(String name) {
+  boolean has(String name) {
+    return node.has(name);
+  }
+
+  /** The full key, as errors name it. */
+  String key(String name) {
     return path.isEmpty() ? name : path + "." + name;
   }
 
