Shared records in Guava's multimaps; the end of a round of beats is worked out once

Read once more: Intakes and Machines each kept lists by key by hand, with the same lines to take one out, and Keeper computed anew what CoverageClock had found.

--- a/src/main/java/io/tansystack/cluster/Intakes.java
+++ b/src/main/java/io/tansystack/cluster/Intakes.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ArrayListMultimap;
+import com.google.common.collect.ListMultimap;
 import io.tansystack.cluster.World.Job;
 import io.tansystack.records.JobRecord;
 import io.tansystack.wire.BadInput;
@@ -10,7 +12,6 @@
 import io.tansystack.wire.Read;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -34,7 +35,7 @@
 
   private final Function<String, Job> jobs;
   private final Map<String, Intake> intakes = new TreeMap<>();
-  private final Map<String, List<Intake>> byJob = new HashMap<>();
+  private final ListMultimap<String, Intake> byJob = ArrayListMultimap.create();
 
   /** @param jobs the newest record of a job; null for none */
   Intakes(Function<String, Job> jobs) {
@@ -79,7 +80,7 @@
       }
       long earliest = acceptedBy(id);
       intake.open.add(id);
-      byJob.computeIfAbsent(id, k -> new ArrayList<>(1)).add(intake);
+      byJob.put(id, intake);
       if (known == null || version < Math.min(earliest, ownVersion(known))) {
         keep.accept(id, new Job(record, known == null ? 0 : known.version(), World.slotOf(id)));
       }
@@ -93,7 +94,7 @@
   /** The version of the intake that accepted the job first; the largest number if there is none. */
   private long acceptedBy(String id) {
     long earliest = Long.MAX_VALUE;
-    for (Intake intake : byJob.getOrDefault(id, List.of())) {
+    for (Intake intake : byJob.get(id)) {
       earliest = Math.min(earliest, intake.version);
     }
     return earliest;
@@ -102,14 +103,7 @@
   private void remove(String name) {
     Intake intake = intakes.remove(name);
     if (intake != null) {
-      for (String id : intake.open) {
-        byJob.computeIfPresent(
-            id,
-            (k, list) -> {
-              list.removeIf(other -> other == intake);
-              return list.isEmpty() ? null : list;
-            });
-      }
+      intake.open.forEach(id -> byJob.remove(id, intake));
     }
   }
 
@@ -120,10 +114,7 @@
    */
   JobRecord own(String id, JobRecord record, long version) {
     if (!record.untouched()) {
-      List<Intake> in = byJob.remove(id);
-      if (in != null) {
-        in.forEach(intake -> intake.open.remove(id));
-      }
+      byJob.removeAll(id).forEach(intake -> intake.open.remove(id));
       return record;
     }
     Job known = jobs.apply(id);
--- a/src/main/java/io/tansystack/cluster/Machines.java
+++ b/src/main/java/io/tansystack/cluster/Machines.java
@@ -3,14 +3,14 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ArrayListMultimap;
+import com.google.common.collect.ListMultimap;
 import io.tansystack.wire.BadInput;
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.Read;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -34,7 +34,7 @@
   private record Own(long version, MachineRecord record) {}
 
   private final Map<String, Lot> lots = new TreeMap<>();
-  private final Map<String, List<Lot>> lotsOf = new HashMap<>();
+  private final ListMultimap<String, Lot> lotsOf = ArrayListMultimap.create();
   private final Map<String, Own> own = new HashMap<>();
 
   /** Sorted, so that all controllers go through them in the same order; looked up in the index. */
@@ -97,12 +97,7 @@
     Lot before = lots.remove(name);
     if (before != null) {
       for (String machine : before.named.keySet()) {
-        lotsOf.computeIfPresent(
-            machine,
-            (k, list) -> {
-              list.removeIf(lot -> lot == before);
-              return list.isEmpty() ? null : list;
-            });
+        lotsOf.remove(machine, before);
         settle(machine, touched);
       }
     }
@@ -110,7 +105,7 @@
       Lot lot = new Lot(version, named);
       lots.put(name, lot);
       for (String machine : named.keySet()) {
-        lotsOf.computeIfAbsent(machine, k -> new ArrayList<>(1)).add(lot);
+        lotsOf.put(machine, lot);
         settle(machine, touched);
       }
     }
@@ -131,7 +126,7 @@
 
   private MachineRecord firstLot(String name) {
     Lot first = null;
-    for (Lot lot : lotsOf.getOrDefault(name, List.of())) {
+    for (Lot lot : lotsOf.get(name)) {
       first = first == null || lot.version < first.version ? lot : first;
     }
     return first == null ? null : first.named.get(name);
--- a/src/main/java/io/tansystack/sessions/CoverageClock.java
+++ b/src/main/java/io/tansystack/sessions/CoverageClock.java
@@ -63,10 +63,11 @@
    * the next complete round counts what they have kept.
    *
    * @param members the controllers that have a record, this one included
+   * @return up to when all have answered; null if not all have
    */
-  public void round(Map<String, Answer> answers, Collection<String> members) {
+  public Duration round(Map<String, Answer> answers, Collection<String> members) {
     if (members.isEmpty() || !answers.keySet().containsAll(members)) {
-      return;
+      return null;
     }
     Duration to = null;
     Duration from = coveredTo;
@@ -83,5 +84,6 @@
       counted = counted.plus(to.minus(from));
     }
     skipTo(to);
+    return to;
   }
 }
--- a/src/main/java/io/tansystack/sessions/Keeper.java
+++ b/src/main/java/io/tansystack/sessions/Keeper.java
@@ -121,8 +121,7 @@
     told.forEach(
         (member, t) ->
             answers.put(member, new Answer(t.askedAt, t.answeredAt, t.digest.keeps())));
-    clock.round(answers, members);
-    boolean complete = told.keySet().containsAll(members);
+    Duration complete = clock.round(answers, members);
     long revision = Long.MAX_VALUE;
     for (String member : members) {
       Told t = told.get(member);
@@ -131,18 +130,11 @@
     told.values().forEach(t -> t.digest.sessions().forEach(this::take));
     for (Tracked tracked : sessions.values()) {
       boolean warned = tracked.session.record.state() == State.WARNED;
-      if (warned && tracked.offered == null && complete && revision >= tracked.session.version) {
+      if (warned && tracked.offered == null && complete != null && revision >= tracked.session.version) {
         tracked.offered = clock.counted();
       }
     }
-    if (complete) {
-      Duration asked = null;
-      for (String member : members) {
-        Duration one = told.get(member).askedAt;
-        asked = asked == null || one.compareTo(asked) < 0 ? one : asked;
-      }
-      askedAt = asked;
-    }
+    askedAt = complete == null ? askedAt : complete;
   }
 
   private void take(String id, Digest.Seen seen) {
