A start without storms: tests of heirs, owners, squaring, pace and whole clusters

Ownership holds the conditions that transactions about owners rest on, walked exhaustively by HeirsTest; StartTest plays starts after the end of all controllers, spread over 0 to 27 s and crossed with an outage, dying, hung and cut off machines, a second end, a rolling restart and a pending rental: no single claim, no needless order, no lost task. One planner where there are to be more than three controllers, not only where more than three live: the plan was spread and gathered again while all came back.

--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -69,6 +69,9 @@
   private final Map<String, View> views = new HashMap<>();
   private Duration heardUntil;
   private long ticks;
+
+  /** Whether this controller has been entitled to act since it started. */
+  private boolean acted;
   private final byte[] empty = Cbor.encode(Cbor.map());
 
   public Controller(
@@ -132,7 +135,7 @@
             this::fleetNews,
             this::heardOfFleet,
             this::informed);
-    this.slots = new SlotDuty(loop, store, world, lease, label, boot, peers::looksDown);
+    this.slots = new SlotDuty(loop, store, world, lease, label, boot, size, peers::looksDown);
     Recovery recovery =
         Recovery.of(
             loop,
@@ -346,9 +349,12 @@
 
   /**
    * What the peers are told. A controller that the state service alone has left says so long before
-   * its lease ends: it can't place anything, and others can take its slots at once.
+   * its lease ends: it can't place anything, and others can take its slots at once. One that starts is
+   * about to act: nothing need be taken from it.
    */
   private boolean useful() {
-    return lease.valid() && storeAnswers();
+    boolean valid = lease.valid();
+    acted |= valid;
+    return (valid || !acted) && storeAnswers();
   }
 }
--- a/src/main/java/io/tansystack/cluster/OwnLease.java
+++ b/src/main/java/io/tansystack/cluster/OwnLease.java
@@ -4,8 +4,6 @@
 import io.tansystack.store.StoreClient;
 import io.tansystack.store.StoreClient.Result;
 import io.tansystack.store.Watcher;
-import io.tansystack.wire.Cbor;
-import io.tansystack.wire.StoreWire.Write;
 import java.time.Duration;
 import java.util.List;
 import org.slf4j.Logger;
@@ -124,13 +122,7 @@
   private void register() {
     store.commitUrgent(
         List.of(),
-        List.of(
-            new Write(
-                World.controllerKey(label),
-                Cbor.map().put("boot", boot).put("zone", zone),
-                lease),
-            // Always, whatever the copy shows: heirs named since would count again once this ends.
-            new Write(World.heirsKey(label), null, 0)),
+        Ownership.registration(label, boot, zone, lease),
         Duration.ofSeconds(2),
         (result, revision) -> {
           registered = result == Result.DONE;
--- a/src/main/java/io/tansystack/cluster/SlotDuty.java
+++ b/src/main/java/io/tansystack/cluster/SlotDuty.java
@@ -2,6 +2,7 @@
 
 import io.tansystack.cluster.World.Holder;
 import io.tansystack.http.Loop;
+import io.tansystack.store.StoreClient.Result;
 import io.tansystack.store.StoreClient;
 import io.tansystack.wire.StoreWire.Condition;
 import io.tansystack.wire.StoreWire.Write;
@@ -27,6 +28,11 @@
   /** A controller that has just come or gone settles before slots are moved towards evenness. */
   private static final Duration SETTLE = Duration.ofSeconds(4);
 
+  /** What is done is shown by then, and what is not may be tried again. */
+  private static final Duration SHOWN = Duration.ofSeconds(2);
+
+  private static final Duration AGAIN = Duration.ofMillis(200);
+
   private static final Duration CONTESTED = Duration.ofSeconds(30);
 
   private final Loop loop;
@@ -35,8 +41,10 @@
   private final OwnLease lease;
   private final String label;
   private final String boot;
+  private final int size;
   private final Predicate<String> looksDown;
-  private final Set<String> inFlight = new HashSet<>();
+  /** Keys whose claims are under way, with the revisions of those that are done. */
+  private final Map<String, Long> inFlight = new HashMap<>();
   private Set<String> lastLive = Set.of();
   private boolean plans;
   private final Set<Integer> held = new HashSet<>();
@@ -44,6 +52,7 @@
   private Duration contestedUntil = Duration.ZERO;
   private Duration liveSince = Duration.ZERO;
 
+  /** @param size how many controllers the deployment has */
   public SlotDuty(
       Loop loop,
       StoreClient store,
@@ -51,6 +60,7 @@
       OwnLease lease,
       String label,
       String boot,
+      int size,
       Predicate<String> looksDown) {
     this.loop = loop;
     this.store = store;
@@ -58,6 +68,7 @@
     this.lease = lease;
     this.label = label;
     this.boot = boot;
+    this.size = size;
     this.looksDown = looksDown;
   }
 
@@ -83,6 +94,7 @@
     if (!world.loaded() || !lease.current() || !world.alive(label, boot)) {
       return;
     }
+    inFlight.values().removeIf(revision -> revision <= world.revision());
     noticeContest();
     List<String> live = planners();
     boolean chosen = live.contains(label);
@@ -179,7 +191,7 @@
                 live.put(controller, record);
               }
             });
-    return Planners.choose(live);
+    return Planners.choose(live, size);
   }
 
   /**
@@ -239,9 +251,10 @@
   }
 
   private void claim(String key, Holder before, String to, String toBoot, long attach) {
-    if (!inFlight.add(key)) {
+    if (inFlight.containsKey(key)) {
       return;
     }
+    inFlight.put(key, Long.MAX_VALUE);
     store.commitUrgent(
         List.of(new Condition(key, before == null ? 0 : before.version())),
         List.of(new Write(key, World.holder(to, toBoot), attach)),
@@ -253,8 +266,11 @@
               to,
               before == null ? "none" : before.label(),
               result);
-          // The key stays marked until the copy of the records has had time to show the outcome.
-          loop.after(Duration.ofMillis(200), () -> inFlight.remove(key));
+          // The key stays marked until the copy shows the outcome: a start is slow to read what it wrote.
+          if (result == Result.DONE) {
+            inFlight.put(key, revision);
+          }
+          loop.after(result == Result.DONE ? SHOWN : AGAIN, () -> inFlight.remove(key));
         });
   }
 }
--- a/src/main/java/io/tansystack/jobs/JobBook.java
+++ b/src/main/java/io/tansystack/jobs/JobBook.java
@@ -290,7 +290,7 @@
               record.active() ? deadlines.missed(record, wallMs) : 0,
               failures.avoid(id, now)));
     }
-    return new Snapshot(machines, booting, jobs, teams);
+    return new Snapshot(machines, booting, jobs, teams, coverage.coversAll());
   }
 
   /** By arrival: the planner sorts what is sorted already, which costs little. */
--- a/src/main/java/io/tansystack/jobs/JobDuty.java
+++ b/src/main/java/io/tansystack/jobs/JobDuty.java
@@ -114,7 +114,10 @@
   }
 
   private Duration gap(int rest) {
-    Duration gap = slots.plans() ? lastPassTook.multipliedBy(rest + 1) : LOOK_GAP;
+    // While a start lasts, each word of the machines opens room that others have waited for; and the
+    // first passes, of a process that is still cold, take long.
+    int times = coverage.open(loop.now()) ? SHORT_REST : rest;
+    Duration gap = slots.plans() ? lastPassTook.multipliedBy(times + 1) : LOOK_GAP;
     return (gap.compareTo(MIN_GAP) > 0 ? gap : MIN_GAP).minus(loop.now().minus(lastPass));
   }
 
--- a/src/main/java/io/tansystack/peers/PeerLink.java
+++ b/src/main/java/io/tansystack/peers/PeerLink.java
@@ -139,18 +139,15 @@
     peers.forEach(peer -> links.put(peer.label(), new Link(peer)));
   }
 
+  /** The first word goes out at once: where all start anew, each waits to hear who is back. */
   public void start() {
-    loop.after(
-        BEAT,
-        () -> {
-          Set<String> names = informed.get();
-          news = fleetNews.get();
-          for (Link link : links.values()) {
-            inform(link, names.contains(link.peer.label()));
-            send(link);
-          }
-          start();
-        });
+    Set<String> names = informed.get();
+    news = fleetNews.get();
+    for (Link link : links.values()) {
+      inform(link, names.contains(link.peer.label()));
+      send(link);
+    }
+    loop.after(BEAT, this::start);
   }
 
   private void inform(Link link, boolean now) {
--- a/src/main/java/io/tansystack/recovery/Coverage.java
+++ b/src/main/java/io/tansystack/recovery/Coverage.java
@@ -77,6 +77,11 @@
     return unknown <= machines * UNKNOWN;
   }
 
+  /** Whether enough is known of all machines to weigh them against each other. */
+  public boolean coversAll() {
+    return unheard() <= machines() * UNKNOWN;
+  }
+
   /** How many machines have not been heard of. */
   public int unheard() {
     return unheard.values().intStream().sum();
--- a/src/main/java/io/tansystack/recovery/Estates.java
+++ b/src/main/java/io/tansystack/recovery/Estates.java
@@ -2,10 +2,10 @@
 
 import io.tansystack.cluster.Heirs;
 import io.tansystack.cluster.MachineRecord;
+import io.tansystack.cluster.Ownership;
 import io.tansystack.cluster.World;
 import io.tansystack.http.Loop;
 import io.tansystack.store.StoreClient;
-import io.tansystack.wire.StoreWire.Condition;
 import io.tansystack.wire.StoreWire.Write;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -51,17 +51,12 @@
   /** Hands over all that was claimed by the machine's claimant. */
   public void handOver(MachineRecord machine, String why) {
     String claimant = machine.claimant();
-    World.ControllerRecord own = world.controllers().get(label);
-    if (own == null || !underWay.add(claimant)) {
+    if (!world.alive(label) || !underWay.add(claimant)) {
       return;
     }
     Map<String, List<String>> heirs = heirs();
     store.commitUrgent(
-        List.of(
-            new Condition(World.controllerKey(claimant), 0),
-            new Condition(World.heirsKey(claimant), world.heirsVersion(claimant)),
-            // Applied late, it would name heirs as they were: not after this controller has ended.
-            new Condition(World.controllerKey(label), own.version())),
+        Ownership.left(world, machine, label),
         List.of(new Write(World.heirsKey(claimant), Heirs.write(heirs), 0)),
         WAIT,
         (result, revision) -> {
--- a/src/main/java/io/tansystack/recovery/Owners.java
+++ b/src/main/java/io/tansystack/recovery/Owners.java
@@ -38,9 +38,10 @@
 
   private static final int MAX_SEEN = 1000;
 
-  /** When it was first seen away and without a record, and the start whose record was seen last. */
+  /** The start whose record was seen last, and since when; since when it was away and without a record. */
   private static final class Seen {
     String boot;
+    Duration bootSince;
     Duration awaySince;
     Duration goneSince;
   }
@@ -55,6 +56,9 @@
   private final Map<String, Seen> seen = new HashMap<>();
   private Duration actsSince;
 
+  /** Records of controllers that are later than this are none of before an end of all. */
+  private long actsFrom;
+
   /** The newest sign of life in the records when this controller came to act. */
   private Duration aliveBefore;
 
@@ -84,6 +88,7 @@
     Duration now = loop.now();
     if (actsSince == null) {
       actsSince = now;
+      actsFrom = world.revision();
       aliveBefore = lastSign(now);
     }
     Seen about = about(controller);
@@ -111,22 +116,29 @@
       Duration took = now.minus(about.awaySince);
       longestStart = longestStart == null || took.compareTo(longestStart) > 0 ? took : longestStart;
     }
-    about.boot = record.boot();
+    if (!record.boot().equals(about.boot)) {
+      about.bootSince = about.boot == null && record.version() <= actsFrom ? actsSince : now;
+      about.boot = record.boot();
+    }
     about.goneSince = null;
-    boolean heard = contact.heard().test(controller) && !contact.refuses().test(controller);
-    if (heard && !contact.unfit().test(controller)) {
+    boolean heard =
+        (record.version() > actsFrom || contact.heard().test(controller))
+            && !contact.refuses().test(controller);
+    boolean unfit = contact.unfit().test(controller);
+    if (heard && !unfit) {
       about.awaySince = null;
       return Verdict.HERE;
     }
     if (about.awaySince == null) {
       about.awaySince = now;
     }
-    // The record may be that of a start which has ended. One that is renewed while connections are
-    // refused, or that nobody here ever hears of, has not.
-    if (!heard && now.minus(about.awaySince).compareTo(recordLife.plus(RECORD_MARGIN)) < 0) {
+    // The record may be that of a start which has ended, or the start so new that it may not act yet.
+    // One that is renewed while connections are refused, or that is never heard of, is neither.
+    Duration since = heard ? about.bootSince : about.awaySince;
+    if (now.minus(since).compareTo(recordLife.plus(RECORD_MARGIN)) < 0) {
       return Verdict.AWAITED;
     }
-    return contact.unfit().test(controller) ? Verdict.UNFIT : Verdict.HERE;
+    return unfit ? Verdict.UNFIT : Verdict.HERE;
   }
 
   /**
--- a/src/main/java/io/tansystack/schedule/Planner.java
+++ b/src/main/java/io/tansystack/schedule/Planner.java
@@ -85,7 +85,7 @@
     teams.markGuaranteed(order);
     order = byPriority(order);
     ReplicaMoves moves = new ReplicaMoves(rooms, keep, plan, candidates::of);
-    boolean moved = false;
+    boolean moved = !snapshot.movable();
     for (JobState job : order) {
       if (!moved && job.record().spec().priority() == Priority.LOW) {
         moves.run(order, replicasMoving);
--- a/src/main/java/io/tansystack/schedule/Snapshot.java
+++ b/src/main/java/io/tansystack/schedule/Snapshot.java
@@ -11,12 +11,23 @@
  * All that a planning pass looks at.
  *
  * @param booting machines that are rented and not yet of use
+ * @param movable whether enough is known of the machines to move replicas about between them
  */
 public record Snapshot(
     List<MachineState> machines,
     List<MachineState> booting,
     List<JobState> jobs,
-    Map<String, Team> teams) {
+    Map<String, Team> teams,
+    boolean movable) {
+
+  /** Of a cluster that is known. */
+  public Snapshot(
+      List<MachineState> machines,
+      List<MachineState> booting,
+      List<JobState> jobs,
+      Map<String, Team> teams) {
+    this(machines, booting, jobs, teams, true);
+  }
 
   /** A machine that is still booting. */
   public static MachineState booting(String name, MachineType type, String zone, boolean spot) {
--- a/src/main/java/io/tansystack/workers/Departures.java
+++ b/src/main/java/io/tansystack/workers/Departures.java
@@ -2,11 +2,11 @@
 
 import io.tansystack.cluster.MachineRecord;
 import io.tansystack.cluster.OwnLease;
+import io.tansystack.cluster.Ownership;
 import io.tansystack.cluster.World;
 import io.tansystack.http.Loop;
 import io.tansystack.store.StoreClient;
 import io.tansystack.store.StoreClient.Result;
-import io.tansystack.wire.StoreWire.Condition;
 import java.time.Duration;
 import java.util.List;
 import org.slf4j.Logger;
@@ -69,14 +69,7 @@
     machine.claiming = true;
     machine.goneVersion = record.version();
     store.commitUrgent(
-        // The second condition voids what an earlier start of this process may still have under way:
-        // the machine may have come back since, under the same record. The third holds while nobody
-        // else has become its owner by being named an heir, or by coming back.
-        List.of(
-            record.condition(),
-            new Condition(World.controllerKey(label), world.controllers().get(label).version()),
-            new Condition(
-                World.heirsKey(record.claimant()), world.heirsVersion(record.claimant()))),
+        Ownership.held(world, record, label),
         List.of(world.gone(machine.name)),
         Duration.ofSeconds(2),
         (result, revision) -> {
--- a/src/main/java/io/tansystack/workers/Orders.java
+++ b/src/main/java/io/tansystack/workers/Orders.java
@@ -95,7 +95,7 @@
     }
     List<Command> commands = new ArrayList<>(wanted.halts());
     commands.addAll(wanted.launches());
-    if (forgetsOnly || !pace.active()) {
+    if (forgetsOnly || pace.waiting() == 0) {
       commands.addAll(wanted.forgets());
     }
     if (commands.size() > MAX_COMMANDS) {
--- /dev/null
+++ b/src/test/java/io/tansystack/cluster/HeirsTest.java
@@ -0,0 +1,204 @@
+package io.tansystack.cluster;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.tansystack.wire.StoreWire.Change;
+import io.tansystack.wire.StoreWire.Condition;
+import io.tansystack.wire.StoreWire.Write;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Who owns a machine, walked through: two controllers that register, end, claim it, name heirs for each
+ * other and declare it gone, each step decided from a copy of any age, that is, delayed for as long as
+ * one likes.
+ */
+class HeirsTest {
+  private static final int DEPTH = 6;
+  private static final String M = "n-1";
+  private static final List<String> LABELS = List.of("c", "d");
+
+  /** What is asked of the state service at once. */
+  private record Txn(String kind, List<Condition> conditions, List<Write> writes) {}
+
+  /** Who may give commands, and under which token. */
+  private record Grant(String owner, long token) {}
+
+  private final Set<List<Change>> seen = new HashSet<>();
+  private int histories;
+  private int handedOver;
+  private int declaredGone;
+
+  private static World copy(List<Change> history) {
+    World world = new World(touched -> {});
+    world.changes(history, revision(history));
+    return world;
+  }
+
+  private static long revision(List<Change> history) {
+    return history.isEmpty() ? 0 : history.get(history.size() - 1).version();
+  }
+
+  private static Map<String, Change> present(List<Change> history) {
+    Map<String, Change> present = new HashMap<>();
+    for (Change change : history) {
+      if (change.value() == null) {
+        present.remove(change.key());
+      } else {
+        present.put(change.key(), change);
+      }
+    }
+    return present;
+  }
+
+  private static List<Change> upTo(List<Change> history, long revision) {
+    return history.stream().filter(change -> change.version() <= revision).toList();
+  }
+
+  private static Condition unchanged(World copy) {
+    MachineRecord record = copy.machine(M);
+    return record == null ? new Condition(World.machineKey(M), 0) : record.condition();
+  }
+
+  /** What a controller asks for that has this copy; it may have ended meanwhile. */
+  private static List<Txn> possible(World copy, String me) {
+    List<Txn> txns = new ArrayList<>();
+    txns.add(
+        new Txn(
+            "registers",
+            List.of(),
+            Ownership.registration(me, me, "a", 0)));
+    if (!copy.alive(me)) {
+      return txns;
+    }
+    MachineRecord claimed =
+        new MachineRecord(M, me, "127.0.0.1:1", "g8", "a", false, false, 0, false);
+    txns.add(
+        new Txn(
+            "claims",
+            List.of(unchanged(copy)),
+            List.of(new Write(World.machineKey(M), claimed.write(), 0))));
+    MachineRecord record = copy.machine(M);
+    if (record == null) {
+      return txns;
+    }
+    if (record.owner().equals(me)) {
+      txns.add(
+          new Txn(
+              "gone",
+              Ownership.held(copy, record, me),
+              List.of(copy.gone(M))));
+    } else if (!copy.alive(record.owner())) {
+      txns.add(
+          new Txn(
+              "heir",
+              Ownership.left(copy, record, me),
+              List.of(
+                  new Write(
+                      World.heirsKey(record.claimant()),
+                      Heirs.write(Map.of(Heirs.ELSEWHERE, List.of(me))),
+                      0))));
+    }
+    return txns;
+  }
+
+  private static Grant grant(List<Change> history) {
+    World world = copy(history);
+    MachineRecord record = world.machine(M);
+    return record != null && world.alive(record.owner())
+        ? new Grant(record.owner(), world.token(record))
+        : null;
+  }
+
+  private void walk(List<Change> history) {
+    histories++;
+    long revision = revision(history);
+    if (revision == DEPTH) {
+      return;
+    }
+    Map<String, Change> present = present(history);
+    for (String label : LABELS) {
+      if (present.containsKey(World.controllerKey(label))) {
+        apply(history, 0, new Txn("ends", List.of(), List.of(new Write(World.controllerKey(label), null, 0))));
+      }
+      for (long age = 0; age <= revision; age++) {
+        for (Txn txn : possible(copy(upTo(history, revision - age)), label)) {
+          boolean holds =
+              txn.conditions.stream()
+                  .allMatch(
+                      c -> {
+                        Change change = present.get(c.key());
+                        return (change == null ? 0 : change.version()) == c.version();
+                      });
+          if (holds) {
+            apply(history, age, txn);
+          }
+        }
+      }
+    }
+  }
+
+  private void apply(List<Change> history, long age, Txn txn) {
+    long revision = revision(history) + 1;
+    List<Change> next = new ArrayList<>(history);
+    txn.writes.forEach(w -> next.add(new Change(w.key(), w.value(), revision)));
+    if (!seen.add(next)) {
+      return;
+    }
+    Grant before = grant(history);
+    if (txn.kind.equals("gone")) {
+      declaredGone++;
+      Grant decided = grant(upTo(history, revision - 1 - age));
+      for (long r = revision - 1 - age; r < revision; r++) {
+        assertEquals(decided, grant(upTo(history, r)), "somebody else held it meanwhile: " + next);
+      }
+    }
+    Grant after = grant(next);
+    if (after != null && !after.equals(before)) {
+      handedOver += txn.kind.equals("heir") ? 1 : 0;
+      for (long r = 0; r < revision; r++) {
+        Grant earlier = grant(upTo(history, r));
+        assertTrue(
+            earlier == null || earlier.token < after.token,
+            txn.kind + ": commands of " + earlier + " would count beside those of " + after + ": " + next);
+      }
+    }
+    walk(next);
+  }
+
+  @Test
+  void ownersNeverShareATokenAndNobodyDeclaresAnothersMachineGone() {
+    walk(List.of());
+    assertTrue(histories > 3000, histories + " histories");
+    assertTrue(handedOver > 50, handedOver + " handed over");
+    assertTrue(declaredGone > 50, declaredGone + " declared gone");
+  }
+
+  @Test
+  void heirsAreOfTheMachinesZoneWhereTheyCanBe() throws Exception {
+    Heirs heirs =
+        Heirs.read(
+            Heirs.write(Map.of("a", List.of("c"), "b", List.of("d", "e"), Heirs.ELSEWHERE, List.of("f"))),
+            9);
+    Set<String> ofB = new HashSet<>();
+    for (int i = 0; i < 50; i++) {
+      String name = "n-" + i;
+      MachineRecord a = new MachineRecord(name, "x", "h:1", "t", "a", false, false, 8, false);
+      MachineRecord b = new MachineRecord(name, "x", "h:1", "t", "b", false, false, 8, true);
+      MachineRecord z = new MachineRecord(name, "x", "h:1", "t", "z", false, false, 8, false);
+      assertEquals("c", heirs.applied(a).owner());
+      assertEquals(9, heirs.applied(a).since());
+      assertEquals("f", heirs.applied(z).owner());
+      ofB.add(heirs.applied(b).owner());
+      MachineRecord since = new MachineRecord(name, "x", "h:1", "t", "a", false, false, 10, false);
+      assertEquals(since, heirs.applied(since), "claimed since");
+    }
+    assertEquals(Set.of("d", "e"), ofB, "spread over those of the zone");
+  }
+}
--- a/src/test/java/io/tansystack/cluster/PlannersTest.java
+++ b/src/test/java/io/tansystack/cluster/PlannersTest.java
@@ -16,18 +16,20 @@
       delimiter = '|',
       textBlock =
           """
-          c-0 a 5                                     | c-0
-          c-0 a 5, c-1 a 6, c-2 b 7                   | c-0 c-1 c-2
-          c-0 a 5, c-1 a 6, c-2 a 7, c-3 b 9          | c-0
-          c-0 b 9, c-1 a 6, c-2 a 7, c-3 a 8          | c-1
-          c-0 a 40, c-1 a 8, c-2 b 7, c-3 a 8, c-4 b 9 | c-2
+          1 | c-0 a 5                                     | c-0
+          3 | c-0 a 5, c-1 a 6, c-2 b 7                   | c-0 c-1 c-2
+          3 | c-0 a 5, c-2 b 7                            | c-0 c-2
+          4 | c-0 a 5, c-1 a 6, c-2 a 7, c-3 b 9          | c-0
+          4 | c-0 b 9, c-1 a 6, c-2 a 7, c-3 a 8          | c-1
+          5 | c-0 a 40, c-1 a 8, c-2 b 7, c-3 a 8, c-4 b 9 | c-2
+          7 | c-1 a 8, c-2 b 7                            | c-2
           """)
-  void theOldestSoThatAReturnMovesNoWork(String live, String expected) {
+  void theOldestSoThatAReturnMovesNoWork(int size, String live, String expected) {
     Map<String, ControllerRecord> records = new TreeMap<>();
     for (String one : live.split(", ")) {
       String[] parts = one.trim().split(" ");
       records.put(parts[0], new ControllerRecord("boot", parts[1], Long.parseLong(parts[2])));
     }
-    assertEquals(List.of(expected.trim().split(" ")), Planners.choose(records));
+    assertEquals(List.of(expected.trim().split(" ")), Planners.choose(records, size));
   }
 }
--- a/src/test/java/io/tansystack/sim/SimCluster.java
+++ b/src/test/java/io/tansystack/sim/SimCluster.java
@@ -46,6 +46,12 @@
   Random random = new Random(1);
   int controllerCount = 1;
 
+  /** The platform's settings, of which label, addresses and size are each controller's own. */
+  String settings = SettingsTest.GOOD;
+
+  /** Whether the state service is away for everybody. */
+  boolean outage;
+
   /** The controller that the state service alone refuses; -1 for none. */
   int refused = -1;
 
@@ -92,7 +98,7 @@
       }
     }
     return PlatformSettings.parse(
-        SettingsTest.GOOD
+        settings
             .replace("c-0", "c-" + me)
             .replace("127.0.0.1:8080", "127.0.0.1:" + port(me))
             .replace("127.0.0.1:8081", "127.0.0.1:" + (port(me) + 1))
@@ -123,7 +129,7 @@
   /** Carries requests to the stand-ins and controllers, with delays, losses and late deliveries. */
   HttpCaller caller(SimLoop.Mortal from, int index) {
     return (to, method, path, body, timeout, outcome) -> {
-      if (to.equals(STORE) && index == refused) {
+      if (to.equals(STORE) && (index == refused || outage)) {
         from.execute(() -> outcome.answer(503, Cbor.encode(Cbor.map())));
         return;
       }
@@ -144,6 +150,15 @@
         });
         return;
       }
+      if (peer >= 0 && !to.equals(CLOUD) && !controllers.containsKey(peer) && !silent.contains(index)) {
+        from.after(
+            Duration.ofMillis(2),
+            () -> {
+              over[0] = true;
+              outcome.silence(true); // Nobody listens where a process has ended.
+            });
+        return;
+      }
       if (silent.contains(index)
           || (silent.contains(peer) && !to.equals(CLOUD))
           || (index == deafTo && to.getPort() >= 9000)) {
@@ -282,8 +297,12 @@
         next.run();
       }
     });
-    if (controller == null
-        || silent.contains(worker.target)
+    if (controller == null) {
+      over[0] = true; // Nobody listens where a process has ended.
+      next.run();
+      return;
+    }
+    if (silent.contains(worker.target)
         || deafTo == worker.target
         || unheard.contains(worker.name)
         || random.nextDouble() < trouble) {
--- a/src/test/java/io/tansystack/sim/StandInStore.java
+++ b/src/test/java/io/tansystack/sim/StandInStore.java
@@ -39,6 +39,14 @@
     expire();
   }
 
+  /** A new deployment: nothing was ever written. */
+  void clear() {
+    entries.clear();
+    values.clear();
+    log.clear();
+    watches.clear();
+  }
+
   long keys(String prefix) {
     return entries.keySet().stream().filter(key -> key.startsWith(prefix)).count();
   }
--- a/src/test/java/io/tansystack/sim/StandInWorker.java
+++ b/src/test/java/io/tansystack/sim/StandInWorker.java
@@ -31,6 +31,14 @@
   int target;
   boolean dead;
 
+  /** Tasks that were killed when the lease ran out. */
+  int lost;
+
+  int ordersTaken;
+
+  /** Orders that a squared fleet would not have needed. */
+  final List<String> needless = new ArrayList<>();
+
   StandInWorker(
       SimLoop loop,
       String name,
@@ -55,6 +63,7 @@
       return;
     }
     if (loop.now().minus(leaseFrom).compareTo(lease) > 0) {
+      lost += live().size();
       tasks.clear();
       session++;
       leaseFrom = loop.now();
@@ -85,6 +94,17 @@
       String id = c.get("Wagon").asText();
       long attempt = c.get("Departure").asLong();
       String key = id + "#" + attempt;
+      ordersTaken++;
+      TaskReport held = tasks.get(key);
+      boolean needed =
+          switch (c.get("Aspect").asText()) {
+            case "launch" -> held == null;
+            case "halt" -> held != null && !held.exited();
+            default -> held != null && held.exited();
+          };
+      if (!needed) {
+        needless.add(c + " of " + held);
+      }
       switch (c.get("Aspect").asText()) {
         case "launch" -> launch(id, attempt, key);
         case "halt" -> end(key, Cause.STOPPED);
--- /dev/null
+++ b/src/test/java/io/tansystack/sim/StartTest.java
@@ -0,0 +1,250 @@
+package io.tansystack.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.settings.SettingsTest;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * The start after all controllers went down: they come back one after the other, alone or crossed with
+ * other failures. Besides the rules there must be no storm: no order that a squared fleet would not
+ * need, no claim of a machine whose owner comes back in time, no rental and no return.
+ */
+class StartTest extends SimCluster {
+  private int jobs;
+  private int submitted;
+
+  /** What is written for machines that change hands: claims of one, of several, and heirs. */
+  private long handedOver() {
+    return store.writes("ts/machines/") + store.writes("ts/lots/") + store.writes("ts/heirs/");
+  }
+
+  private void work(int tasks) {
+    submit(String.format("wk-%06d", jobs++), tasks);
+    submitted += tasks;
+  }
+
+  private void bootIn(int index, Duration in) {
+    loop.after(
+        in,
+        () -> {
+          try {
+            boot(index);
+          } catch (Exception e) {
+            throw new IllegalStateException(e);
+          }
+        });
+  }
+
+  private void running(int controllers, int machines) throws Exception {
+    settings = SettingsTest.GOOD.replace("cpus_max = 40.0", "cpus_max = 0.0");
+    controllerCount = controllers;
+    maxMachines = machines;
+    for (int i = 0; i < controllers; i++) {
+      boot(i);
+    }
+    loop.runFor(Duration.ofSeconds(2));
+    for (int left = machines * 4; left > 0; left -= 100) {
+      work(Math.min(left, 100));
+    }
+    loop.runFor(Duration.ofSeconds(14));
+    for (int left = machines * 4; left > 0; left -= 100) {
+      work(Math.min(left, 100)); // What waits at the end of all, and follows what ends meanwhile.
+    }
+    loop.runFor(Duration.ofSeconds(4));
+  }
+
+  /** All end, and come back as told: milliseconds after the end, -1 for never. */
+  private void endOfAll(List<Integer> back) {
+    for (int i = 0; i < controllerCount; i++) {
+      if (controllers.containsKey(i)) {
+        kill(i);
+      }
+      if (back.get(i) >= 0) {
+        bootIn(i, Duration.ofMillis(back.get(i)));
+      }
+    }
+  }
+
+  private List<Integer> spread(int from, int over, int never) {
+    List<Integer> back = new ArrayList<>();
+    for (int i = 0; i < controllerCount; i++) {
+      back.add(i < never ? -1 : from + (over == 0 ? 0 : random.nextInt(over)));
+    }
+    return back;
+  }
+
+  private int lost() {
+    return workers.values().stream().mapToInt(worker -> worker.lost).sum();
+  }
+
+  private void noStorm() {
+    check();
+    assertEquals(Set.of(), broken);
+    workers.values().forEach(worker -> assertEquals(List.of(), worker.needless, worker.name));
+  }
+
+  private void allIsDoneInTheEnd(int lost) {
+    loop.runFor(Duration.ofSeconds(150));
+    noStorm();
+    for (int j = 0; j < jobs; j++) {
+      assertEquals("done", state(String.format("wk-%06d", j)), "job " + j);
+    }
+    assertEquals(submitted + lost, started.size(), "each task was started once, and again if lost");
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    // controllers, machines, first back, over so long, never back, writes for machines, at most.
+    "3,  12,  3000,  0,     0, 0",
+    "3,  12,  3000,  1500,  0, 0",
+    "5,  40,  6000,  2000,  0, 0",
+    "7,  60,  6000,  1500,  0, 0",
+    "7,  300, 6000,  1500,  0, 0",
+    "5,  40,  500,   14000, 0, 0",
+    "5,  40,  3000,  27000, 0, 5",
+    "5,  40,  3000,  1500,  1, 1",
+    "7,  60,  3000,  1500,  4, 4",
+    "4,  20,  20000, 1500,  0, 0",
+  })
+  void aStartCostsNoWorkAndNoStorm(
+      int controllers, int machines, int first, int over, int never, int most) throws Exception {
+    for (int seed = 1; seed <= (machines > 100 ? 1 : 3); seed++) {
+      store.clear();
+      workers.values().forEach(worker -> worker.dead = true);
+      workers.clear();
+      started.clear();
+      submitted = 0;
+      jobs = 0;
+      random = new Random(seed);
+      running(controllers, machines);
+      long before = handedOver();
+      int rentedBefore = rented.size();
+      endOfAll(spread(first, over, never));
+      loop.runFor(Duration.ofMillis(first + over + 15_000));
+      noStorm();
+      assertEquals(0, lost(), "no lease ran out");
+      assertTrue(
+          handedOver() - before <= most,
+          "seed " + seed + ": " + (handedOver() - before) + " writes for machines");
+      assertEquals(rentedBefore, rented.size(), "nothing was rented for what was not heard of yet");
+      allIsDoneInTheEnd(0);
+      for (int i = 0; i < controllers; i++) {
+        if (this.controllers.containsKey(i)) {
+          kill(i);
+        }
+      }
+    }
+  }
+
+  /** Crossed with what else may happen in such a night. */
+  @ParameterizedTest
+  @CsvSource({
+    "again,   5, 40", "outage,  5, 40", "dying,   5, 40", "hung,    5, 40", "cut,     5, 40",
+    "rolling, 5, 40", "cancel,  5, 40", "frozen,  5, 40", "pending, 5, 40",
+  })
+  void aStartCrossedWithOtherTroublesBreaksNothing(String trouble, int controllers, int machines)
+      throws Exception {
+    for (int seed = 1; seed <= 2; seed++) {
+      store.clear();
+      workers.clear();
+      started.clear();
+      submitted = 0;
+      jobs = 0;
+      random = new Random(seed);
+      running(controllers, machines);
+      List<StandInWorker> all = List.copyOf(workers.values());
+      boolean mayLose = false;
+      String last = String.format("wk-%06d", jobs - 1);
+      String abort = "/v1/jobs/" + last + "/abort";
+      if (trouble.equals("pending")) {
+        maxMachines += 4; // A rental is under way at the end.
+        work(100);
+        loop.runFor(Duration.ofMillis(120));
+      }
+      endOfAll(spread(3000, 1500, 0));
+      switch (trouble) {
+        case "again" -> {
+          loop.runFor(Duration.ofMillis(3000 + random.nextInt(4000)));
+          for (int i = 0; i < controllers; i++) {
+            if (this.controllers.containsKey(i)) {
+              kill(i);
+              bootIn(i, Duration.ofMillis(3000 + random.nextInt(1500)));
+            }
+          }
+        }
+        case "outage" -> {
+          loop.runFor(Duration.ofMillis(1000 + random.nextInt(4000)));
+          outage = true;
+          loop.after(Duration.ofSeconds(12), () -> outage = false);
+        }
+        case "dying" -> {
+          loop.runFor(Duration.ofSeconds(1));
+          for (StandInWorker worker : all.subList(0, 5)) {
+            worker.dead = true;
+            workers.remove(worker.name);
+          }
+          mayLose = true;
+        }
+        case "hung" -> {
+          all.subList(0, 12).forEach(worker -> unheard.add(worker.name));
+          loop.after(Duration.ofSeconds(25 + seed * 20), unheard::clear);
+          mayLose = true;
+        }
+        case "cut" -> {
+          silent.add(0);
+          loop.after(Duration.ofSeconds(40), silent::clear);
+        }
+        case "rolling" -> {
+          loop.runFor(Duration.ofSeconds(6));
+          for (int i = 0; i < controllers; i++) {
+            kill(i);
+            boot(i);
+            loop.runFor(Duration.ofSeconds(3));
+          }
+        }
+        case "cancel" -> {
+          loop.runFor(Duration.ofSeconds(6));
+          ObjectNode[] answer = new ObjectNode[1];
+          for (int t = 0; t < 5 && call("POST", abort, new byte[0], answer) != 200; t++) {
+            loop.runFor(Duration.ofSeconds(1));
+          }
+          assertEquals("withdrawn", answer[0].get("Status").asText());
+          loop.runFor(Duration.ofSeconds(8));
+          assertTrue(
+              workers.values().stream()
+                  .flatMap(w -> w.live().stream())
+                  .noneMatch(task -> task.startsWith(last + "/")),
+              "what was cancelled during the start is gone soon");
+          assertEquals("withdrawn", state(last));
+          mayLose = true;
+        }
+        case "frozen" -> {
+          loop.runFor(Duration.ofSeconds(5));
+          processes.get(random.nextInt(controllers)).freeze(Duration.ofSeconds(20));
+        }
+        default -> loop.runFor(Duration.ofSeconds(1));
+      }
+      loop.runFor(Duration.ofSeconds(240));
+      noStorm();
+      if (!mayLose) {
+        assertEquals(0, lost(), trouble + " seed " + seed);
+        allIsDoneInTheEnd(0);
+      }
+      for (int j = 0; j < jobs - (trouble.equals("cancel") ? 1 : 0); j++) {
+        assertEquals("done", state(String.format("wk-%06d", j)), trouble + " seed " + seed + " job " + j);
+      }
+      for (int i = 0; i < controllers; i++) {
+        kill(i);
+      }
+    }
+  }
+}
