Jobs that are over are put away, so that a start does not grow with history

What is left of a job moves to ts-ended/<id> by one transaction with spare writes; what denies a job reads there last, and what writes to a job without an own record names that key too. A copy is told of only when the changes since its first page are in, and a refused page is read again by itself. Reports that are only to be sent away are answered unread.

--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -5,6 +5,7 @@
 import io.tansystack.cluster.SlotDuty;
 import io.tansystack.cluster.StallDetector;
 import io.tansystack.cluster.Sweep;
+import io.tansystack.cluster.Touched;
 import io.tansystack.cluster.World;
 import io.tansystack.fleet.FleetDuty;
 import io.tansystack.fleet.TypeDuty;
@@ -244,7 +245,7 @@
         latencies.summary());
   }
 
-  private void worldChanged(World.Touched touched) {
+  private void worldChanged(Touched touched) {
     latencies.measure(
         "change",
         () -> {
--- a/src/main/java/io/tansystack/cluster/Intakes.java
+++ b/src/main/java/io/tansystack/cluster/Intakes.java
@@ -4,7 +4,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ArrayListMultimap;
+import com.google.common.collect.HashMultiset;
 import com.google.common.collect.ListMultimap;
+import com.google.common.collect.Multiset;
 import io.tansystack.cluster.World.Job;
 import io.tansystack.records.JobRecord;
 import io.tansystack.wire.BadInput;
@@ -24,18 +26,16 @@
  * Jobs that were accepted several in one record. Such a job counts as accepted and untouched until it
  * has a record of its own; among records that accept the same job the earliest counts, so that a
  * repeated submission never changes what was accepted first. The record that accepted it may go once
- * each of its jobs has been placed, cancelled or finished under its own key, which stays for ever.
- *
- * <p>Whether a job has a record of its own is judged by a copy that may be mixed of two revisions
- * while it is loaded page by page. Keys here sort before those of jobs, so their pages are older, and
- * a job can be missing for a moment but never come back after it was over.
+ * each of its jobs has been placed, cancelled or finished under its own key, which stays at least for as
+ * long as an intake names the job.
  */
 final class Intakes {
-  private record Intake(long version, Set<String> open) {}
+  private record Intake(long version, Set<String> named, Set<String> open) {}
 
   private final Function<String, Job> jobs;
   private final Map<String, Intake> intakes = new TreeMap<>();
   private final ListMultimap<String, Intake> byJob = ArrayListMultimap.create();
+  private final Multiset<String> naming = HashMultiset.create();
 
   /** @param jobs the newest record of a job; null for none */
   Intakes(Function<String, Job> jobs) {
@@ -70,10 +70,13 @@
     for (JsonNode node : Read.list(value, "jobs")) {
       records.add(JobRecord.read(Read.map(node, "jobs")));
     }
-    Intake intake = new Intake(version, new HashSet<>());
+    remove(name);
+    Intake intake = new Intake(version, new HashSet<>(), new HashSet<>());
     intakes.put(name, intake);
     for (JobRecord record : records) {
       String id = record.spec().id();
+      intake.named.add(id);
+      naming.add(id);
       Job known = jobs.apply(id);
       if (over.apply(id) || (known != null && !known.record().untouched())) {
         continue;
@@ -104,6 +107,7 @@
     Intake intake = intakes.remove(name);
     if (intake != null) {
       intake.open.forEach(id -> byJob.remove(id, intake));
+      intake.named.forEach(naming::remove);
     }
   }
 
@@ -121,6 +125,11 @@
     return known != null && acceptedBy(id) < version ? known.record() : record;
   }
 
+  /** Whether an intake names the job, whatever has become of it: its own record has to stay for so long. */
+  boolean names(String id) {
+    return naming.contains(id);
+  }
+
   /** Those of which every job has gone on under its own key, with their versions. */
   Map<String, Long> over() {
     Map<String, Long> over = new TreeMap<>();
--- a/src/main/java/io/tansystack/cluster/Machines.java
+++ b/src/main/java/io/tansystack/cluster/Machines.java
@@ -24,9 +24,6 @@
  * a lot still names it, a machine that is gone leaves a mark there instead of an absent key.
  *
  * <p>A lot may go once all its machines have own keys; a mark may go once no lot names the machine.
- * Keys of lots sort between those of jobs and of machines: a copy that is loaded page by page sees lots
- * older than own records, and so may take a machine for claimed that is gone, never the other way
- * round, which would be a proof.
  */
 final class Machines {
   private record Lot(long version, Map<String, MachineRecord> named) {}
--- a/src/main/java/io/tansystack/cluster/Sweep.java
+++ b/src/main/java/io/tansystack/cluster/Sweep.java
@@ -1,17 +1,21 @@
 package io.tansystack.cluster;
 
 import io.tansystack.http.Loop;
+import io.tansystack.records.JobRecord;
 import io.tansystack.store.StoreClient;
 import io.tansystack.wire.StoreWire.Condition;
 import io.tansystack.wire.StoreWire.Write;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * Removes records that nothing needs any more: those that accepted several jobs or claimed several
- * machines, and the marks of machines that are gone. Nothing waits for it, so it takes few writes and
+ * machines, and the marks of machines that are gone; and puts away what is left of jobs that are over,
+ * so that a start does not have to read it. Nothing waits for it, so it takes few writes and
  * only such as are left over; the holder of the first slot does it, and two at a time would do no harm.
  */
 public final class Sweep {
@@ -19,6 +23,9 @@
   private static final Duration EVERY = Duration.ofSeconds(1);
   private static final int MOST = 3;
 
+  /** Outcomes are put away so many at once: fewer make more transactions, more a gap in placements. */
+  private static final int AT_ONCE = 4;
+
   private final Loop loop;
   private final StoreClient store;
   private final World world;
@@ -56,5 +63,32 @@
           List.of(new Write(needless.key(), null, 0)),
           (result, revision) -> log.debug("removal of {}: {}", needless.key(), result));
     }
+    putAway();
+  }
+
+  /**
+   * Puts outcomes away, under {@link World#endedKey}. Both writes of a job are one transaction, so it
+   * stands in one of the two places at any moment, and what still writes to it under the old condition
+   * fails ({@link World#unchanged}).
+   */
+  private void putAway() {
+    List<Condition> conditions = new ArrayList<>();
+    List<Write> writes = new ArrayList<>();
+    for (Map.Entry<String, Outcomes.Standing> outcome : world.outcomes().entrySet()) {
+      if (conditions.size() == AT_ONCE) {
+        break;
+      }
+      String id = outcome.getKey();
+      conditions.add(new Condition(World.jobKey(id), outcome.getValue().version()));
+      writes.add(new Write(World.jobKey(id), null, 0));
+      writes.add(
+          new Write(World.endedKey(id), JobRecord.outcome(outcome.getValue().phase()).write(), 0));
+    }
+    if (conditions.size() == AT_ONCE && store.reserveSpare(writes.size())) {
+      store.commitReserved(
+          conditions,
+          writes,
+          (result, revision) -> log.debug("{} outcomes put away: {}", conditions.size(), result));
+    }
   }
 }
--- a/src/main/java/io/tansystack/cluster/World.java
+++ b/src/main/java/io/tansystack/cluster/World.java
@@ -14,7 +14,6 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -33,11 +32,11 @@
   /** Everything of this service stands under one prefix; the state service may have other users. */
   public static final String PREFIX = "ts/";
 
+  private static final String ENDED = "ts-ended/";
+
   /** Slots are claimed one by one; twelve divide evenly among two, three, four or six controllers. */
   public static final int SLOTS = 12;
 
-  private static final int MAX_FINALS = 50_000;
-
   /** A live controller's record. */
   public record ControllerRecord(String boot, String zone, long version) {}
 
@@ -52,17 +51,12 @@
     public String id() {
       return record.spec().id();
     }
-  }
 
-  /**
-   * What a batch of changes concerns, so that nothing else need be looked at again.
-   *
-   * @param machines machines whose own record changed
-   * @param placedOn machines on which something else is recorded than before
-   * @param controllers whether controllers came, went or started anew
-   */
-  public record Touched(
-      Set<String> jobs, Set<String> machines, Set<String> placedOn, boolean controllers) {}
+    /** Hold while nobody has written a record of the job since this one. */
+    public List<Condition> unchanged() {
+      return World.unchanged(id(), version);
+    }
+  }
 
   private final Map<String, ControllerRecord> controllers = new TreeMap<>();
   private final Holder[] slots = new Holder[SLOTS];
@@ -76,7 +70,7 @@
   private Holder fleet;
   private Journal rentals;
   private ObjectNode types;
-  private final LinkedHashMap<String, JobRecord.Phase> finals = new LinkedHashMap<>();
+  private final Outcomes outcomes = new Outcomes();
   private final Map<String, Long> versions = new HashMap<>();
   private final PlacementIndex placements = new PlacementIndex(jobIndex::get);
   private final Intakes intakes = new Intakes(jobIndex::get);
@@ -100,7 +94,23 @@
     return PREFIX + "jobs/" + slotOf(job) + "/" + job;
   }
 
-  /** Sorts before the jobs' keys, and has to: see {@link Intakes}. */
+  /**
+   * Where a job that is over is kept in the end: under a prefix of its own, which nobody reads but to
+   * answer for that job. What has to be read at a start would grow with all that was ever done.
+   */
+  public static String endedKey(String job) {
+    return ENDED + job;
+  }
+
+  /**
+   * Hold while the job's own record has this version; for 0, while it never had one: it may have run and
+   * be kept among those that are over by the time that a delayed transaction comes.
+   */
+  public static List<Condition> unchanged(String job, long version) {
+    Condition own = new Condition(jobKey(job), version);
+    return version > 0 ? List.of(own) : List.of(own, new Condition(endedKey(job), 0));
+  }
+
   public static String intakeKey(String name) {
     return PREFIX + "intake/" + name;
   }
@@ -110,7 +120,6 @@
     return Intakes.write(records);
   }
 
-  /** Sorts after the jobs' keys and before the machines', and has to: see {@link Machines}. */
   public static String lotKey(String name) {
     return PREFIX + "lots/" + name;
   }
@@ -150,15 +159,16 @@
   }
 
   @Override
-  public void snapshot(List<Change> all, long atRevision) {
+  public void snapshot(List<Change> pages, List<Change> since, long atRevision) {
     Set<String> seen = new HashSet<>();
-    all.forEach(change -> seen.add(change.key()));
+    pages.forEach(change -> seen.add(change.key()));
     for (String key : List.copyOf(versions.keySet())) {
       if (!seen.contains(key)) {
         apply(new Change(key, null, Long.MAX_VALUE));
       }
     }
-    all.forEach(this::apply);
+    pages.forEach(this::apply);
+    since.forEach(this::apply);
     revision = Math.max(revision, atRevision);
     tell();
   }
@@ -228,10 +238,11 @@
       case "heirs" -> machines.putHeirs(name, value, version, touchedMachines);
       case "lots" -> machines.putLot(name, value, version, touchedMachines);
       case "machines" -> machines.putOwn(name, value, version, touchedMachines);
-      case "intake" -> intakes.put(name, value, version, finals::containsKey, this::keep);
+      case "intake" -> intakes.put(name, value, version, id -> outcomes.phase(id) != null, this::keep);
       case "jobs" -> {
         String id = name.substring(name.indexOf('/') + 1);
         if (value == null) {
+          outcomes.putAway(id);
           keep(id, null);
           return;
         }
@@ -241,17 +252,9 @@
         JobRecord record =
             intakes.own(id, JobRecord.read(value, same ? before.record().spec() : null), version);
         if (!record.active()) {
-          finals.put(id, record.phase());
-          if (finals.size() > MAX_FINALS) {
-            finals.remove(finals.keySet().iterator().next());
-          }
-        }
-        if (record.spec() == null) {
-          keep(id, null);
-          versions.remove(jobKey(id));
-        } else {
-          keep(id, new Job(record, version, slotOf(id)));
+          outcomes.over(id, record, version);
         }
+        keep(id, record.spec() == null ? null : new Job(record, version, slotOf(id)));
       }
       default -> log.debug("unknown record {}", key);
     }
@@ -320,7 +323,12 @@
 
   /** The final state, if the job is known to have one; it never changes again. */
   public JobRecord.Phase finalPhase(String id) {
-    return finals.get(id);
+    return outcomes.phase(id);
+  }
+
+  /** Jobs whose own records hold an outcome only and that no intake names, with their versions. */
+  Map<String, Outcomes.Standing> outcomes() {
+    return outcomes.standing(intakes::names);
   }
 
   public Map<String, MachineRecord> machines() {
--- a/src/main/java/io/tansystack/jobs/ForeignProofs.java
+++ b/src/main/java/io/tansystack/jobs/ForeignProofs.java
@@ -66,8 +66,7 @@
         continue;
       }
       unabsorbed.remove(id);
-      List<Condition> conditions = new ArrayList<>();
-      conditions.add(new Condition(World.jobKey(id), job.version()));
+      List<Condition> conditions = new ArrayList<>(job.unchanged());
       RoundWriter.addProofConditions(book.proofs(id), new HashSet<>(), conditions);
       JobRecord next = book.effective().get(id);
       log.info("taking in proofs for job={} of another's slot {}", id, job.slot());
--- a/src/main/java/io/tansystack/jobs/Intake.java
+++ b/src/main/java/io/tansystack/jobs/Intake.java
@@ -60,8 +60,8 @@
     double perSecond =
         Math.max(limits.writeRps() * SHARE / settings.size(), 1000.0 / LONGEST.toMillis());
     this.pace = new RateBudget(perSecond, Math.max(2, perSecond), loop.now());
-    // A condition for each job, and one for the record itself.
-    this.maxJobs = limits.txnOps() * 4 - 1;
+    // Two conditions for each job, and one for the record itself.
+    this.maxJobs = (limits.txnOps() * 4 - 1) / 2;
     this.maxSize = (int) (limits.valueBytes() * FILLED);
   }
 
@@ -108,7 +108,7 @@
     String key = World.jobKey(one.record.spec().id());
     ObjectNode value = one.record.write();
     store.commitUrgent(
-        List.of(new Condition(key, 0)),
+        World.unchanged(one.record.spec().id(), 0),
         List.of(new Write(key, value, 0)),
         WAIT,
         (result, revision) -> one.then.accept(result));
@@ -124,7 +124,7 @@
     List<JobRecord> records = new ArrayList<>();
     conditions.add(new Condition(key, 0));
     for (Waiting one : batch) {
-      conditions.add(new Condition(World.jobKey(one.record.spec().id()), 0));
+      conditions.addAll(World.unchanged(one.record.spec().id(), 0));
       records.add(one.record);
     }
     store.commitUrgent(
--- a/src/main/java/io/tansystack/jobs/JobBook.java
+++ b/src/main/java/io/tansystack/jobs/JobBook.java
@@ -3,6 +3,7 @@
 import io.tansystack.cluster.MachineRecord;
 import io.tansystack.cluster.PlacementIndex;
 import io.tansystack.cluster.SlotDuty;
+import io.tansystack.cluster.Touched;
 import io.tansystack.cluster.World.Job;
 import io.tansystack.cluster.World;
 import io.tansystack.http.Loop;
@@ -92,15 +93,15 @@
     }
     this.deadlines = new Deadlines(settings.objectives());
     settings.teams().forEach(team -> teams.put(team.name(), team));
-    // Next to the machines chosen in a round, the slot, the record and the team.
-    this.maxProofConditions = Math.max(1, settings.store().txnOps() * 2 - 3);
+    // Next to the machines chosen in a round, the slot, the record, that it is not over, and the team.
+    this.maxProofConditions = Math.max(1, settings.store().txnOps() * 2 - 4);
   }
 
   /**
    * Records changed. Only what these changes concern is looked at again by the next pass: to go
    * through all jobs and machines each time is what a large cluster can't afford.
    */
-  void touched(World.Touched touched, boolean planned) {
+  void touched(Touched touched, boolean planned) {
     for (String id : touched.jobs()) {
       Job job = world.job(id);
       if (planned || job == null || proofs.containsKey(id)) {
--- a/src/main/java/io/tansystack/jobs/JobDuty.java
+++ b/src/main/java/io/tansystack/jobs/JobDuty.java
@@ -2,6 +2,7 @@
 
 import io.tansystack.cluster.OwnLease;
 import io.tansystack.cluster.SlotDuty;
+import io.tansystack.cluster.Touched;
 import io.tansystack.cluster.World.Job;
 import io.tansystack.cluster.World;
 import io.tansystack.http.Loop;
@@ -173,7 +174,7 @@
    * Records changed. Only what these changes concern is looked at again by the next pass: to go
    * through all jobs and machines each time is what a large cluster can't afford.
    */
-  public void touched(World.Touched touched) {
+  public void touched(Touched touched) {
     book.touched(touched, planned);
     for (String id : touched.jobs()) {
       Job job = world.job(id);
--- a/src/main/java/io/tansystack/jobs/Lookup.java
+++ b/src/main/java/io/tansystack/jobs/Lookup.java
@@ -90,21 +90,25 @@
 
   /** @param askedAt when the question came: what was committed before that is found */
   void find(String id, Duration askedAt, Found found) {
-    store.get(
+    read(
         World.jobKey(id),
+        found,
+        change -> {
+          if (change != null) {
+            take(id, change, found);
+          } else {
+            withoutOwn(id, askedAt, found);
+          }
+        });
+  }
+
+  private void read(String key, Found found, Consumer<Change> then) {
+    store.get(
+        key,
         new Got() {
           @Override
           public void value(Change change) {
-            if (change == null) {
-              withoutOwn(id, askedAt, found);
-              return;
-            }
-            try {
-              found.take(JobRecord.read(change.value()), change.version());
-            } catch (BadInput e) {
-              log.error("record of job={} is unreadable: {}", id, e.getMessage());
-              found.unsure("the record is unreadable");
-            }
+            then.accept(change);
           }
 
           @Override
@@ -114,40 +118,55 @@
         });
   }
 
-  private void withoutOwn(String id, Duration askedAt, Found found) {
-    if (answered(id, askedAt, found)) {
-      return;
+  private static void take(String id, Change change, Found found) {
+    try {
+      found.take(JobRecord.read(change.value()), change.version());
+    } catch (BadInput e) {
+      log.error("record of job={} is unreadable: {}", id, e.getMessage());
+      found.unsure("the record is unreadable");
     }
-    if (syncedAt != null && syncedAt.compareTo(askedAt) >= 0) {
-      found.absent();
-      return;
-    }
-    whenSynced(
-        synced -> {
-          if (!answered(id, askedAt, found)) {
-            if (synced) {
-              found.absent();
+  }
+
+  private void withoutOwn(String id, Duration askedAt, Found found) {
+    JobRecord.Phase phase = world.finalPhase(id);
+    if (phase != null) {
+      found.take(JobRecord.outcome(phase), 0);
+    } else if (world.job(id) != null || (syncedAt != null && syncedAt.compareTo(askedAt) >= 0)) {
+      amongEnded(id, found);
+    } else {
+      whenSynced(
+          synced -> {
+            if (synced || world.job(id) != null) {
+              amongEnded(id, found);
             } else {
               found.unsure("the records are not up to date");
             }
-          }
-        });
-    confirm.run(); // Whoever asks for what is not there need not wait for the next change.
+          });
+      confirm.run(); // Whoever asks for what is not there need not wait for the next change.
+    }
   }
 
   /**
-   * From the copy. A job that has no record of its own there had none when it was read either, or has
-   * one that is newer than that reading. One that has ended meanwhile has a record now.
+   * It had no record of its own. What the copy tells, which holds all that was committed before the
+   * question, and then the absence of its outcome, tell the rest: with neither there was no such job;
+   * one that an intake accepted may wait still; and one that the copy shows under its own key has been
+   * put among those that are over since, and its outcome is there.
    */
-  private boolean answered(String id, Duration askedAt, Found found) {
-    Job job = world.job(id);
-    if (job != null) {
-      found.take(job.record(), job.version());
-    } else if (world.finalPhase(id) != null) {
-      find(id, askedAt, found);
-    } else {
-      return false;
-    }
-    return true;
+  private void amongEnded(String id, Found found) {
+    Job shown = world.job(id);
+    read(
+        World.endedKey(id),
+        found,
+        change -> {
+          if (change != null) {
+            take(id, change, found);
+          } else if (shown == null) {
+            found.absent();
+          } else if (shown.version() == 0) {
+            found.take(shown.record(), 0);
+          } else {
+            found.unsure("the records are not up to date");
+          }
+        });
   }
 }
--- a/src/main/java/io/tansystack/jobs/RoundWriter.java
+++ b/src/main/java/io/tansystack/jobs/RoundWriter.java
@@ -199,7 +199,7 @@
     String id = c.job.id();
     List<Condition> conditions = new ArrayList<>();
     conditions.add(new Condition(World.slotKey(c.job.slot()), world.slot(c.job.slot()).version()));
-    conditions.add(new Condition(World.jobKey(id), c.job.version()));
+    conditions.addAll(c.job.unchanged());
     Set<String> named = new HashSet<>();
     if (c.places) {
       for (JobRecord.Assignment part : plan.placements().get(id)) {
--- a/src/main/java/io/tansystack/jobs/UserApi.java
+++ b/src/main/java/io/tansystack/jobs/UserApi.java
@@ -13,7 +13,6 @@
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.MachineType;
-import io.tansystack.wire.StoreWire.Condition;
 import io.tansystack.wire.StoreWire.Write;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -207,7 +206,7 @@
   private void cancel(String id, JobRecord record, long version, int tries, Once once) {
     String key = World.jobKey(id);
     store.commitUrgent(
-        List.of(new Condition(key, version)),
+        World.unchanged(id, version),
         List.of(new Write(key, record.cancelled().write(), 0)),
         CANCEL_WAIT,
         (result, revision) -> {
--- a/src/main/java/io/tansystack/records/JobRecord.java
+++ b/src/main/java/io/tansystack/records/JobRecord.java
@@ -57,6 +57,11 @@
     return new JobRecord(spec, nowMs, Phase.ACTIVE, TaskSet.EMPTY, 0, List.of());
   }
 
+  /** What is left of a job that is over. */
+  public static JobRecord outcome(Phase phase) {
+    return new JobRecord(null, 0, phase, TaskSet.EMPTY, 0, List.of());
+  }
+
   public boolean active() {
     return phase == Phase.ACTIVE;
   }
--- a/src/main/java/io/tansystack/store/StoreClient.java
+++ b/src/main/java/io/tansystack/store/StoreClient.java
@@ -166,6 +166,11 @@
     return urgent.isEmpty() && budget.take(writes, false, loop.now());
   }
 
+  /** As {@link #reserve}, where at least as much is left over: for what can wait for ever. */
+  public boolean reserveSpare(int writes) {
+    return budget.available(loop.now()) >= 2 * writes && reserve(writes);
+  }
+
   /** Sends a transaction whose share was reserved. */
   public void commitReserved(List<Condition> conditions, List<Write> writes, Committed then) {
     send(conditions, writes, then);
--- a/src/main/java/io/tansystack/store/Watcher.java
+++ b/src/main/java/io/tansystack/store/Watcher.java
@@ -25,8 +25,11 @@
 
   /** Receives the stream. */
   public interface Listener {
-    /** Everything as of a revision; replaces all that was known. */
-    void snapshot(List<Change> all, long revision);
+    /**
+     * Everything, page by page, each page newer than those before; and what has changed since the
+     * first, in order. Together they are everything as of the revision; it replaces all that was known.
+     */
+    void snapshot(List<Change> pages, List<Change> since, long revision);
 
     /** The next changes, in order. */
     void changes(List<Change> changes, long revision);
@@ -101,8 +104,8 @@
   }
 
   /**
-   * Pages are read one after the other, so later ones may be newer; the watch starts at the first
-   * page's revision, and versions keep the changes that come twice from doing harm.
+   * Pages are read one after the other, so later ones may be newer; versions keep the changes that come
+   * twice from doing harm.
    */
   private void load(List<Change> all, String after, long firstRevision, Duration startedAt) {
     store.request(
@@ -118,16 +121,48 @@
               long first = firstRevision < 0 ? page.revision() : firstRevision;
               if (page.more() && !page.changes().isEmpty()) {
                 load(all, page.changes().get(page.changes().size() - 1).key(), first, startedAt);
-                return;
+              } else {
+                complete(all, first, startedAt);
               }
-              revision = first;
+              return;
+            }
+            // What was read is kept: all controllers read at the same moment after a common end, and
+            // whoever began anew for each refused page might never come through.
+            loop.after(RETRY, () -> load(all, after, firstRevision, startedAt));
+            return;
+          } catch (BadInput e) {
+            log.warn("state service: unreadable list: {}", e.getMessage());
+          }
+          loop.after(RETRY, this::start);
+        });
+  }
+
+  /**
+   * Nothing is told before all that changed while the pages were read is known: between two pages of
+   * different age a job or a machine may seem to be what it never was.
+   */
+  private void complete(List<Change> pages, long first, Duration startedAt) {
+    store.request(
+        "GET",
+        StoreWire.watchPath(prefix, first, 0),
+        null,
+        PAGE_TIMEOUT,
+        (status, map) -> {
+          try {
+            if (status == 200) {
+              Changes since = StoreWire.readWatch(map);
+              revision = Math.max(first, since.revision());
               syncedAt = startedAt;
-              listener.snapshot(all, first);
+              listener.snapshot(pages, since.changes(), revision);
               watch();
               return;
             }
+            if (status != 410) {
+              loop.after(RETRY, () -> complete(pages, first, startedAt));
+              return;
+            }
           } catch (BadInput e) {
-            log.warn("state service: unreadable list: {}", e.getMessage());
+            log.warn("state service: unreadable watch: {}", e.getMessage());
           }
           loop.after(RETRY, this::start);
         });
--- a/src/main/java/io/tansystack/workers/Claims.java
+++ b/src/main/java/io/tansystack/workers/Claims.java
@@ -31,7 +31,7 @@
   private static final Duration SENT_BACK = Duration.ofSeconds(20);
   private static final double CLAIM_SHARE = 0.25;
   private static final int MAX_SENT_AWAY = 10_000;
-  private static final int COME_AGAIN_S = 1;
+  static final int COME_AGAIN_S = 1;
 
   /** Told of a worker whose claim has come true, to be answered as the owner's. */
   interface Claimed {
@@ -97,25 +97,37 @@
   }
 
   /**
-   * A worker that is not ours: it is sent to its owner if that one lives and is no worse for its zone,
-   * asked to come again while that one is awaited, and claimed if there is none or if it keeps coming
-   * although it was sent away.
+   * Whether the worker's owner is awaited, or this controller's own copy, which is about to show under
+   * which token the worker is to be answered: then it is asked to come again. The machines of one that
+   * is late are handed over.
    */
-  void claimOrRedirect(MachineRecord record, Report report, Reply reply) {
-    Verdict verdict = null;
-    if (record != null) {
-      verdict = record.owner().equals(label) ? Verdict.AWAITED : recovery.owners().verdict(record.owner());
-      if (verdict == Verdict.LATE) {
-        recovery.estates().handOver(record, record.owner() + " is late and its workers come here");
-      }
-      if (verdict == Verdict.LATE || verdict == Verdict.AWAITED) {
-        // Its own, too: the copy is about to show under which token it is to be answered.
-        reply.send(503, Cbor.encode(Answers.error(record.owner() + " is awaited")), COME_AGAIN_S);
-        return;
-      }
+  boolean awaits(MachineRecord record, Reply reply) {
+    Verdict verdict = verdict(record);
+    if (verdict == Verdict.LATE) {
+      recovery
+          .estates()
+          .handOver(record, record.owner() + " is late and its workers come here");
+    } else if (verdict != Verdict.AWAITED) {
+      return false;
     }
+    reply.send(503, Cbor.encode(Answers.error(record.owner() + " is awaited")), COME_AGAIN_S);
+    return true;
+  }
+
+  private Verdict verdict(MachineRecord record) {
+    return record.owner().equals(label)
+        ? Verdict.AWAITED
+        : recovery.owners().verdict(record.owner());
+  }
+
+  /**
+   * A worker that is not ours, and whose owner is not awaited: it is sent to its owner if that one lives
+   * and is no worse for its zone, and claimed if there is none or if it keeps coming although it was
+   * sent away.
+   */
+  void claimOrRedirect(MachineRecord record, Report report, Reply reply) {
     Duration now = loop.now();
-    boolean ownerLives = verdict == Verdict.HERE;
+    boolean ownerLives = record != null && verdict(record) == Verdict.HERE;
     String to = null;
     if (ownerLives) {
       boolean ownerNear = inZone(record.owner(), report.zone());
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.Sets;
 import io.tansystack.cluster.MachineRecord;
 import io.tansystack.cluster.OwnLease;
+import io.tansystack.cluster.Touched;
 import io.tansystack.cluster.World.Job;
 import io.tansystack.cluster.World;
 import io.tansystack.http.HttpCaller;
@@ -123,34 +124,37 @@
     return machine == null || machine.goneVersion != record.version();
   }
 
-  /** Serves {@code POST /v1/report}. */
+  /**
+   * Serves {@code POST /v1/report}. Who is only to be sent away is answered unread: after an end of all
+   * every worker asks every second, and a start has no processor time to spare.
+   */
   public void report(byte[] body, Reply reply) {
+    if (!lease.valid()) {
+      reply.send(503, Cbor.encode(Answers.error("not entitled to act now")), Claims.COME_AGAIN_S);
+      return;
+    }
+    ReportHead head = ReportHead.read(body);
+    MachineRecord known = head == null ? null : world.machine(head.machine());
+    if (known != null && !mine(known) && claims.awaits(known, reply)) {
+      return;
+    }
     Report report;
     try {
-      report = read(body);
+      OwnedMachine machine = head == null ? null : machines.get(head.machine());
+      report = machine == null ? Report.read(body) : machine.read(head, body);
     } catch (BadInput e) {
       log.warn("unreadable report: {}", e.getMessage());
       reply.send(400, Cbor.encode(Answers.error(e.getMessage())));
       return;
     }
-    if (!lease.valid()) {
-      reply.send(503, Cbor.encode(Answers.error("not entitled to act now")));
-      return;
-    }
     MachineRecord record = world.machine(report.machine());
     if (mine(record)) {
       accept(record, report, reply);
-    } else {
+    } else if (record == null || !claims.awaits(record, reply)) {
       claims.claimOrRedirect(record, report, reply);
     }
   }
 
-  private Report read(byte[] body) throws BadInput {
-    ReportHead head = ReportHead.read(body);
-    OwnedMachine machine = head == null ? null : machines.get(head.machine());
-    return machine == null ? Report.read(body) : machine.read(head, body);
-  }
-
   private void accept(MachineRecord record, Report report, Reply reply) {
     long token = world.token(record);
     if (report.token() > token) {
@@ -221,7 +225,7 @@
    * true, and commands may follow. Looking at all machines for each change is what a large cluster
    * can't afford; what is due by time alone is found by the tick.
    */
-  public void worldChanged(World.Touched touched) {
+  public void worldChanged(Touched touched) {
     claims.worldChanged();
     if (touched.controllers() && world.alive(label, boot) && machines.isEmpty()) {
       timeAll();
--- a/src/test/java/io/tansystack/cluster/MachinesTest.java
+++ b/src/test/java/io/tansystack/cluster/MachinesTest.java
@@ -178,24 +178,14 @@
             .filter(c -> c.key().contains("machines/"))
             .forEach(pages::add);
         World loaded = new World(touched -> {});
-        loaded.snapshot(pages, r);
-        if (counted.subList(r, late + 1).stream().allMatch(Objects::nonNull)) {
-          assertNotNull(loaded.machine(M), "pages of " + r + " and " + late + " of " + history);
-        }
-        loaded.changes(history.subList(r, history.size()), history.size());
+        loaded.snapshot(pages, history.subList(r, late), late);
+        assertEquals(counted.get(late), loaded.machine(M), "pages of " + r + " and " + late + " of " + history);
+        loaded.changes(history.subList(late, history.size()), history.size());
         assertEquals(now.machine(M), loaded.machine(M), "after pages of " + r + " and " + late);
       }
     }
   }
 
-  /** What a copy that is loaded page by page relies on; pages are sorted by key. */
-  @Test
-  void keysSortAsTheirRecordsMayBeRead() {
-    assertTrue(World.intakeKey("z").compareTo(World.jobKey("a")) < 0);
-    assertTrue(World.jobKey("z").compareTo(World.lotKey("a")) < 0);
-    assertTrue(World.lotKey("z").compareTo(World.machineKey("a")) < 0);
-  }
-
   @Test
   void neitherDelayNorOrderMakesAMachineSeemGone() {
     walk(List.of());
--- a/src/test/java/io/tansystack/sim/ClusterTest.java
+++ b/src/test/java/io/tansystack/sim/ClusterTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** The rules hold under every failure that the stand-ins can cause, and the work is done in the end. */
@@ -286,7 +287,7 @@
    * includes launches, forgets and transactions, so this crosses every step of a launch.
    */
   @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  @MethodSource("seeds")
   void rulesHoldThroughLossDelayAndCrashes(long seed) throws Exception {
     random = new Random(seed);
     controllerCount = 3;
--- /dev/null
+++ b/src/test/java/io/tansystack/sim/OutcomesTest.java
@@ -0,0 +1,150 @@
+package io.tansystack.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.cluster.World;
+import io.tansystack.wire.Cbor;
+import java.time.Duration;
+import java.util.function.Function;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Jobs that are over are put away, and known for ever; a start doesn't read them. */
+class OutcomesTest extends SimCluster {
+  private static String id(int i) {
+    return String.format("wk-%06d", i);
+  }
+
+  private void bootAll() throws Exception {
+    for (int i = 0; i < controllerCount; i++) {
+      boot(i);
+    }
+  }
+
+  private void killAll() {
+    for (int i = 0; i < controllerCount; i++) {
+      kill(i);
+    }
+  }
+
+  private void known(int jobs, String cancelled) {
+    ObjectNode[] answer = new ObjectNode[1];
+    for (int i = 0; i < jobs; i++) {
+      String expected = id(i).equals(cancelled) ? "withdrawn" : "done";
+      assertEquals(expected, state(id(i)));
+      byte[] other = Cbor.encode(Cbor.map().put("Uid", id(i)).put("Wagons", "many"));
+      assertEquals(200, call("POST", "/v1/jobs", other, answer), "whatever the body of a repetition");
+      assertEquals(expected, answer[0].get("Status").asText());
+      byte[] same = Cbor.encode(spec(id(i), 1).write());
+      assertEquals(200, call("POST", "/v1/jobs", same, answer), "and whatever it asks for");
+      assertEquals(200, call("POST", "/v1/jobs/" + id(i) + "/abort", new byte[0], answer));
+      assertEquals(expected, answer[0].get("Status").asText());
+    }
+    assertEquals("404", state(id(999)));
+    assertEquals(404, call("POST", "/v1/jobs/" + id(999) + "/abort", new byte[0], answer));
+  }
+
+  @Test
+  void whatWasPutAwayIsAnsweredForEverAndRunsNoMore() throws Exception {
+    controllerCount = 2;
+    bootAll();
+    loop.runFor(Duration.ofSeconds(2));
+    for (int i = 0; i < 13; i++) {
+      submit(id(i), i == 12 ? 30 : 1);
+    }
+    ObjectNode[] answer = new ObjectNode[1];
+    assertEquals(200, call("POST", "/v1/jobs/" + id(12) + "/abort", new byte[0], answer));
+    loop.runFor(Duration.ofSeconds(120));
+    assertTrue(store.keys("ts-ended/") >= 12, store.keys("ts-ended/") + " put away");
+    assertTrue(store.keys("ts/jobs/") <= 1, store.keys("ts/jobs/") + " left");
+    int starts = started.size();
+    known(13, id(12));
+    killAll();
+    bootAll(); // These have never seen them.
+    loop.runFor(Duration.ofSeconds(2));
+    known(13, id(12));
+    loop.runFor(Duration.ofSeconds(60));
+    assertEquals(starts, started.size(), "nothing of it runs again");
+    assertEquals(0, store.keys("ts/intake/"));
+  }
+
+  /** Asked all the time while jobs end and are put away, by controllers that come and go. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void noAnswerGoesBackWhileAJobMoves(long seed) throws Exception {
+    random = new java.util.Random(seed);
+    controllerCount = 2;
+    bootAll();
+    loop.runFor(Duration.ofSeconds(2));
+    for (int i = 0; i < 9; i++) {
+      submit(id(i), 1 + random.nextInt(3));
+    }
+    boolean[] over = new boolean[9];
+    trouble = 0.02;
+    for (int round = 0; round < 60; round++) {
+      int job = random.nextInt(9);
+      String state = state(id(job));
+      assertTrue(!state.equals("404"), "seed " + seed + ": an accepted job is never denied");
+      assertTrue(!over[job] || state.equals("done") || state.equals("no answer"), "seed " + seed + ": " + state);
+      over[job] |= state.equals("done");
+      if (random.nextInt(6) == 0) {
+        int victim = random.nextInt(2);
+        if (controllers.containsKey(victim)) {
+          kill(victim);
+        }
+        boot(victim);
+      }
+      assertEquals("404", state(id(500)), "nor is one invented");
+    }
+    trouble = 0;
+    loop.runFor(Duration.ofSeconds(60));
+    check();
+    assertEquals(java.util.Set.of(), broken);
+    for (int i = 0; i < 9; i++) {
+      assertEquals("done", state(id(i)), "seed " + seed);
+    }
+  }
+
+  /** What a start of three controllers costs: requests, and the time until the last of them is ready. */
+  private record Start(int requests, int refused, Duration took) {}
+
+  private Start start(int ended, Function<String, String> key) throws Exception {
+    store.clear();
+    store.pageSize = 1000;
+    store.fillWith(ended, key);
+    controllerCount = 3;
+    store.requestsPerSecond = 200;
+    store.requests = 0;
+    store.refused = 0;
+    Duration from = loop.now();
+    bootAll();
+    int[] ready = {0};
+    while (ready[0] < 3 && loop.now().minus(from).compareTo(Duration.ofSeconds(300)) < 0) {
+      loop.runFor(Duration.ofMillis(20));
+      ready[0] = 0;
+      for (int i = 0; i < 3; i++) {
+        controllers
+            .get(i)
+            .front("GET", "/up", new byte[0], (status, body, r) -> ready[0] += status == 200 ? 1 : 0);
+      }
+    }
+    Start start = new Start(store.requests, store.refused, loop.now().minus(from));
+    killAll();
+    return start;
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {10_000, 50_000})
+  void aStartDoesNotGrowWithWhatHasEnded(int ended) throws Exception {
+    Start none = start(0, World::endedKey);
+    Start many = start(ended, World::endedKey);
+    assertTrue(many.requests <= none.requests * 1.1, none + " and " + many);
+    assertTrue(many.took.toMillis() <= none.took.toMillis() * 1.1, none + " and " + many);
+    Start inTheCopy = start(ended, World::jobKey); // As it was, and as what is not put away yet.
+    assertTrue(inTheCopy.requests >= none.requests + 3 * ended / 1000, "" + inTheCopy);
+  }
+}
--- a/src/test/java/io/tansystack/sim/SimCluster.java
+++ b/src/test/java/io/tansystack/sim/SimCluster.java
@@ -25,7 +25,9 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.BiConsumer;
+import java.util.stream.LongStream;
 
 /**
  * Whole controllers against stand-ins for the state service, the cloud and workers, in simulated
@@ -328,6 +330,15 @@
     processes.get(worker.target).run(() -> controller.front("POST", "/v1/report", body, reply));
   }
 
+  /**
+   * The seeds that a test plays: a few, or those that the property {@code tansystack.seeds} names as
+   * {@code FROM-TO}, for many to be played once.
+   */
+  static LongStream seeds() {
+    String[] range = System.getProperty("tansystack.seeds", "1-8").split("-");
+    return LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[1]));
+  }
+
   /** The rule that a task is never on two machines, at every moment at which one may start. */
   void check() {
     Set<String> seen = new HashSet<>();
@@ -342,7 +353,7 @@
 
   int call(String method, String path, byte[] body, ObjectNode[] into) {
     int[] status = {0};
-    for (Map.Entry<Integer, Controller> entry : Map.copyOf(controllers).entrySet()) {
+    for (Map.Entry<Integer, Controller> entry : new TreeMap<>(controllers).entrySet()) {
       if (silent.contains(entry.getKey())) {
         continue;
       }
@@ -371,6 +382,7 @@
       if (status == 200 || status == 201) {
         return;
       }
+      loop.runFor(Duration.ofSeconds(3)); // Nobody may have been there to ask.
     }
     throw new AssertionError("never accepted: " + id);
   }
--- a/src/test/java/io/tansystack/sim/StandInStore.java
+++ b/src/test/java/io/tansystack/sim/StandInStore.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.records.JobRecord;
 import io.tansystack.wire.Cbor;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -11,6 +12,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 
 /** A stand-in for the state service, after its published protocol. */
 final class StandInStore {
@@ -32,6 +34,17 @@
   /** Items in one page of a list: few, so that a copy is loaded from many. */
   int pageSize = 5;
 
+  /** Requests that it carries out in a second, as its limit; unlimited where nobody says. */
+  double requestsPerSecond = Double.MAX_VALUE;
+
+  private double left;
+  private Duration refilledAt = Duration.ZERO;
+
+  /** Requests that came, and those of them that were over the limit. */
+  int requests;
+
+  int refused;
+
   private long nextLease = 1;
 
   StandInStore(SimLoop loop) {
@@ -122,7 +135,36 @@
     return "";
   }
 
+  private boolean overLimit() {
+    requests++;
+    if (requestsPerSecond == Double.MAX_VALUE) {
+      return false;
+    }
+    double passed = loop.now().minus(refilledAt).toNanos() / 1e9;
+    refilledAt = loop.now();
+    left = Math.min(requestsPerSecond, left + passed * requestsPerSecond);
+    if (left < 1) {
+      refused++;
+      return true;
+    }
+    left--;
+    return false;
+  }
+
+  /** Outcomes of jobs that ended long ago, as if a deployment had run for so long. */
+  void fillWith(int jobs, Function<String, String> key) {
+    ObjectNode outcome = JobRecord.outcome(JobRecord.Phase.DONE).write();
+    revision++;
+    for (int i = 0; i < jobs; i++) {
+      entries.put(key.apply(String.format("wk-%07d", i)), new Entry(outcome, revision, 0));
+    }
+  }
+
   void handle(String method, String path, ObjectNode body, BiConsumer<Integer, ObjectNode> reply) {
+    if (overLimit()) {
+      reply.accept(429, Cbor.map());
+      return;
+    }
     if (path.startsWith("/store?")) {
       ObjectNode map = Cbor.map();
       ArrayNode pairs = map.putArray("Pairs");
