Proofs are left to a slot's holder that acts; lines on how a start goes

Others now wait 20 s where the holder is heard of and says that it acts, and 2.5 s as before where it does not.

--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -17,6 +17,7 @@
 import io.tansystack.jobs.UserApi;
 import io.tansystack.peers.PeerLink;
 import io.tansystack.recovery.Recovery;
+import io.tansystack.recovery.Start;
 import io.tansystack.schedule.Snapshot.MachineState;
 import io.tansystack.settings.OperatorSettings;
 import io.tansystack.settings.PlatformSettings;
@@ -66,6 +67,7 @@
   private final UserApi users;
   private final Sweep sweep;
   private final Overseer overseer;
+  private final Start start;
   private final Latencies latencies;
   private final Map<String, View> views = new HashMap<>();
   private Duration heardUntil;
@@ -168,7 +170,8 @@
     this.jobs =
         new JobDuty(
             loop, store, world, lease, slots, settings, views::get, types::get, this::booting,
-            pass -> latencies.measure("pass", pass), clock, recovery.coverage());
+            pass -> latencies.measure("pass", pass), clock, recovery.coverage(),
+            peer -> peers.heard(peer) && !peers.unfitForWorkers(peer));
     this.fleet =
         new FleetDuty(
             loop, caller, store, world, lease, stall, slots, types, settings, operator, desk,
@@ -178,6 +181,7 @@
             loop, store, world, settings, boot, clock, types::all, this::storeAnswers,
             watcher::confirm);
     this.sweep = new Sweep(loop, store, world, lease, slots);
+    this.start = new Start(loop, world, label, recovery, desk::standing);
     this.overseer =
         new Overseer(
             loop,
@@ -221,6 +225,9 @@
       }
       views.keySet().removeIf(name -> world.machine(name) == null && desk.silentFor(name) == null);
       jobs.wake();
+      if (lease.valid() && world.alive(settings.label(), boot)) {
+        start.turn();
+      }
     }
   }
 
--- a/src/main/java/io/tansystack/jobs/ForeignProofs.java
+++ b/src/main/java/io/tansystack/jobs/ForeignProofs.java
@@ -15,6 +15,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -23,6 +24,12 @@
   private static final Logger log = LoggerFactory.getLogger(ForeignProofs.class);
   private static final Duration FOREIGN_AFTER = Duration.ofMillis(2500);
 
+  /**
+   * A holder that acts has more proofs to write than the limit allows at times: after a fleet has lost
+   * its leases, of every job at once. Help from all others only makes all their writes conflict.
+   */
+  private static final Duration HOLDER_ACTS = Duration.ofSeconds(20);
+
   private record Unabsorbed(long version, Duration since) {}
 
   private final Loop loop;
@@ -30,16 +37,25 @@
   private final World world;
   private final SlotDuty slots;
   private final JobBook book;
+  private final Predicate<String> acts;
   private final Runnable wake;
   private final Map<String, Unabsorbed> unabsorbed = new HashMap<>();
 
+  /** @param acts whether a controller is heard of here and says that it may act */
   ForeignProofs(
-      Loop loop, StoreClient store, World world, SlotDuty slots, JobBook book, Runnable wake) {
+      Loop loop,
+      StoreClient store,
+      World world,
+      SlotDuty slots,
+      JobBook book,
+      Predicate<String> acts,
+      Runnable wake) {
     this.loop = loop;
     this.store = store;
     this.world = world;
     this.slots = slots;
     this.book = book;
+    this.acts = acts;
     this.wake = wake;
   }
 
@@ -62,7 +78,11 @@
         unabsorbed.put(id, new Unabsorbed(job.version(), now));
         continue;
       }
-      if (now.minus(known.since).compareTo(FOREIGN_AFTER) < 0 || !store.reserve(1)) {
+      World.Holder holder = world.slot(job.slot());
+      boolean held =
+          holder != null && world.alive(holder.label(), holder.boot()) && acts.test(holder.label());
+      Duration after = held ? HOLDER_ACTS : FOREIGN_AFTER;
+      if (now.minus(known.since).compareTo(after) < 0 || !store.reserve(1)) {
         continue;
       }
       unabsorbed.remove(id);
--- a/src/main/java/io/tansystack/jobs/JobDuty.java
+++ b/src/main/java/io/tansystack/jobs/JobDuty.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /**
@@ -83,7 +84,8 @@
       Supplier<List<MachineState>> booting,
       Consumer<Runnable> measured,
       InstantSource clock,
-      Coverage coverage) {
+      Coverage coverage,
+      Predicate<String> acts) {
     this.loop = loop;
     this.world = world;
     this.lease = lease;
@@ -96,7 +98,7 @@
     this.book = new JobBook(loop, world, slots, settings, views, types, clock, coverage);
     this.writer =
         new RoundWriter(loop, store, world, slots, settings, views, book, limit, this::wake);
-    this.foreign = new ForeignProofs(loop, store, world, slots, book, this::wake);
+    this.foreign = new ForeignProofs(loop, store, world, slots, book, acts, this::wake);
   }
 
   /** What the last pass could not place, over all jobs. */
--- a/src/main/java/io/tansystack/recovery/OrderPace.java
+++ b/src/main/java/io/tansystack/recovery/OrderPace.java
@@ -19,8 +19,11 @@
  * cancelled work has only so long, then launches by urgency, and what is only to be forgotten last.
  */
 public final class OrderPace {
-  /** How many times the usual rate: the backlog of a start is over in some seconds. */
-  private static final double TIMES = 3;
+  /**
+   * How many times the mean rate. The busiest second of a minute has some two and a half times the mean
+   * where jobs come in arrays, and twice that a start may need.
+   */
+  private static final double TIMES = 6;
 
   private static final Duration TURN = Duration.ofMillis(50);
 
@@ -63,6 +66,7 @@
     until = loop.now().plus(lasting);
   }
 
+  /** Whether orders are spread. At the end of a start all goes that still waits: new work may have come. */
   public boolean active() {
     return loop.now().compareTo(until) < 0;
   }
--- a/src/main/java/io/tansystack/workers/Orders.java
+++ b/src/main/java/io/tansystack/workers/Orders.java
@@ -11,7 +11,9 @@
 import io.tansystack.wire.Report;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -39,6 +41,7 @@
   private final Answered answered;
   private final Consumer<OwnedMachine> again;
   private final OrderPace pace;
+  private final Map<Command.Op, Long> sent = new EnumMap<>(Command.Op.class);
 
   /**
    * @param pace tells when a machine's turn is
@@ -59,6 +62,11 @@
     this.again = again;
   }
 
+  /** How many orders of the kind were sent. */
+  long sent(Command.Op op) {
+    return sent.getOrDefault(op, 0L);
+  }
+
   /** What the machine's newest report and the records differ in. */
   Squaring difference(OwnedMachine machine) {
     return Squaring.of(machine.latest.session(), machine.listed, world.placedOn(machine.name));
@@ -110,6 +118,7 @@
 
   private void send(OwnedMachine machine, long token, long session, List<Command> commands) {
     machine.ordersInFlight = true;
+    commands.forEach(command -> sent.merge(command.op(), 1L, Long::sum));
     if (log.isDebugEnabled()) {
       for (Command c : commands) {
         log.debug(
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -12,6 +12,7 @@
 import io.tansystack.recovery.OrderPace;
 import io.tansystack.recovery.Recovery;
 import io.tansystack.recovery.Squaring;
+import io.tansystack.recovery.Start;
 import io.tansystack.schedule.MachineHistory;
 import io.tansystack.store.StoreClient.Result;
 import io.tansystack.store.StoreClient;
@@ -19,6 +20,7 @@
 import io.tansystack.wire.Answers;
 import io.tansystack.wire.BadInput;
 import io.tansystack.wire.Cbor;
+import io.tansystack.wire.Command;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.MachineType;
 import io.tansystack.wire.Report;
@@ -59,11 +61,8 @@
   private final Function<String, View> views;
   private final Map<String, OwnedMachine> machines = new LinkedHashMap<>();
 
-  /** As of the last tick: every message to another controller says it. */
-  private boolean deaf;
-
-  /** Since when reports were heard and answered; before that, silences were this controller's own. */
-  private Duration listeningSince;
+  private final Silences silences;
+  private int lost;
   private final Claims claims;
   private final Orders orders;
   private final OrderPace pace;
@@ -94,21 +93,21 @@
     this.boot = boot;
     this.types = types;
     this.views = views;
-    this.listeningSince = loop.now();
+    this.silences = new Silences(loop.now());
     this.claims =
         new Claims(
             loop, store, world, label, boot, zone, writesPerSecond, unfit, recovery,
             this::usable, this::accept);
     this.longestStart = recovery.longest();
     this.pace = new OrderPace(loop, this::tendIfOwned);
-    this.orders = new Orders(loop, caller, world, pace, this::take, this::tendIfOwned);
+    this.orders = new Orders(loop, caller, world, pace, this::take, m -> tendIfOwned(m.name));
     this.departures = new Departures(loop, store, world, lease, label, workerLease);
     this.telling = new Telling(publish);
   }
 
   /** This process stood still, or could not answer: no machine is to be judged by that time. */
   public void listenAnew() {
-    listeningSince = loop.now();
+    silences.listenAnew(loop.now());
   }
 
   private boolean mine(MachineRecord record) {
@@ -174,11 +173,30 @@
     }
     machine.answeredAt = now;
     machine.answeredUnder = token;
+    if (machine.latest == null) {
+      lost += Start.lost(world.placedOn(record.name()), report.session());
+    }
     reply.send(200, machine.answer(token));
     take(machine, report);
     tend(machine);
   }
 
+  /** How far this controller's machines are since it started. */
+  public Start.Standing standing() {
+    int heard = 0;
+    for (OwnedMachine machine : machines.values()) {
+      heard += machine.latest == null ? 0 : 1;
+    }
+    return new Start.Standing(
+        machines.size(),
+        heard,
+        pace.waiting(),
+        orders.sent(Command.Op.START),
+        orders.sent(Command.Op.STOP),
+        orders.sent(Command.Op.FORGET),
+        lost);
+  }
+
   private OwnedMachine machine(MachineRecord record, Duration now) {
     return machines.computeIfAbsent(
         record.name(),
@@ -269,10 +287,10 @@
       tend(machine);
       MachineRecord record = world.machine(machine.name);
       if (mine(record)) {
-        departures.judge(machine, record, listeningSince);
+        departures.judge(machine, record, silences.listeningSince());
       }
     }
-    deaf = mostAreSilent(now);
+    silences.judge(machines.values(), now);
   }
 
   /** Finds a new owner for a machine whose owner has ended, if that one is late. */
@@ -283,29 +301,16 @@
   /**
    * Whether most machines of this controller have fallen silent together: then it is this controller
    * that the workers can't reach. The others are told so, and take the workers over when they come,
-   * rather than sending them back here until their leases end.
+   * rather than sending them back here until their leases end. As of the last tick.
    */
   public boolean deaf() {
-    return deaf;
-  }
-
-  private boolean mostAreSilent(Duration now) {
-    int silent = 0;
-    for (OwnedMachine machine : machines.values()) {
-      silent += Telling.silent(silence(machine, now)) ? 1 : 0;
-    }
-    return silent > 2 && silent > machines.size() * MASS;
+    return silences.deaf();
   }
 
   /** How long a machine of ours has been silent; null if it is not ours. */
   public Duration silentFor(String name) {
     OwnedMachine machine = machines.get(name);
-    return machine == null ? null : silence(machine, loop.now());
-  }
-
-  private Duration silence(OwnedMachine machine, Duration now) {
-    boolean later = machine.answeredAt.compareTo(listeningSince) > 0;
-    return now.minus(later ? machine.answeredAt : listeningSince);
+    return machine == null ? null : silences.of(machine, loop.now());
   }
 
   private void tendIfOwned(String name) {
@@ -315,12 +320,6 @@
     }
   }
 
-  private void tendIfOwned(OwnedMachine machine) {
-    if (machines.get(machine.name) == machine) {
-      tend(machine);
-    }
-  }
-
   /** Sends what the machine lacks, and tells the others what is new. */
   private void tend(OwnedMachine machine) {
     MachineRecord record = world.machine(machine.name);
@@ -341,25 +340,25 @@
     }
     long token = world.token(record);
     if (!usable(record)) {
-      telling.tell(machine, token, List.of(), silence(machine, now), now);
+      telling.tell(machine, token, List.of(), silences.of(machine, now), now);
       return;
     }
     if (machine.doubtfulToken == token) {
       if (!machine.claiming && now.compareTo(machine.quietUntil) >= 0) {
         reclaim(machine, record);
       }
-      telling.tell(machine, token, List.of(), silence(machine, now), now);
+      telling.tell(machine, token, List.of(), silences.of(machine, now), now);
       return;
     }
     if (machine.settled && machine.published != null && machine.published.token() == token) {
-      telling.tell(machine, token, machine.published.voids(), silence(machine, now), now);
+      telling.tell(machine, token, machine.published.voids(), silences.of(machine, now), now);
       return;
     }
     boolean shown = latest.token() == token;
     boolean quiet = !machine.ordersInFlight;
     Squaring difference = shown && quiet ? orders.difference(machine) : null;
     List<View.Void> voids = difference == null ? List.of() : Orders.voids(difference);
-    telling.tell(machine, token, voids, silence(machine, now), now);
+    telling.tell(machine, token, voids, silences.of(machine, now), now);
     if (difference != null
         && machine.address != null
         && now.compareTo(machine.quietUntil) >= 0) {
