--- a/src/main/java/io/tansystack/jobs/JobDuty.java
+++ b/src/main/java/io/tansystack/jobs/JobDuty.java
@@ -45,6 +45,8 @@
 
   private static final int SHORT_REST = 8;
 
+  private static final Duration START_GAP = Duration.ofMillis(250);
+
   private static final Snapshot NOTHING =
       new Snapshot(List.of(), List.of(), List.of(), Map.of());
   private static final Plan NO_PLAN = new Plan(Map.of(), Map.of(), List.of());
@@ -117,10 +119,10 @@
   }
 
   private Duration gap(int rest) {
+    Duration gap = slots.plans() ? lastPassTook.multipliedBy(rest + 1) : LOOK_GAP;
     // While a start lasts, each word of the machines opens room that others have waited for; and the
-    // first passes, of a process that is still cold, take long.
-    int times = coverage.open(loop.now()) ? SHORT_REST : rest;
-    Duration gap = slots.plans() ? lastPassTook.multipliedBy(times + 1) : LOOK_GAP;
+    // first passes, of a process that is still cold, take a tenth of a second.
+    gap = coverage.open(loop.now()) && gap.compareTo(START_GAP) > 0 ? START_GAP : gap;
     return (gap.compareTo(MIN_GAP) > 0 ? gap : MIN_GAP).minus(loop.now().minus(lastPass));
   }
 
--- a/src/main/java/io/tansystack/recovery/Start.java
+++ b/src/main/java/io/tansystack/recovery/Start.java
@@ -76,11 +76,15 @@
     if (began == null) {
       began = now;
       toldAt = now;
+      over = world.machines().isEmpty();
       log.info(
           "start: {} machines are recorded, {} of them this controller's, and {} jobs",
           world.machines().size(),
           standing.get().machines(),
           world.jobs().size());
+      if (over) {
+        return; // There is nothing to be squared.
+      }
     }
     Standing s = standing.get();
     Map<String, Integer> away = away();
--- a/src/test/java/io/tansystack/cluster/HeirsTest.java
+++ b/src/test/java/io/tansystack/cluster/HeirsTest.java
@@ -34,6 +34,7 @@
   private int histories;
   private int handedOver;
   private int declaredGone;
+  private int takenBack;
 
   private static World copy(List<Change> history) {
     World world = new World(touched -> {});
@@ -71,7 +72,7 @@
     List<Txn> txns = new ArrayList<>();
     txns.add(
         new Txn(
-            "registers",
+            "registers " + me,
             List.of(),
             Ownership.registration(me, me, "a", 0)));
     if (!copy.alive(me)) {
@@ -159,6 +160,11 @@
         assertEquals(decided, grant(upTo(history, r)), "somebody else held it meanwhile: " + next);
       }
     }
+    MachineRecord record = copy(next).machine(M);
+    if (record != null && txn.kind.equals("registers " + record.claimant())) {
+      takenBack += before == null || !before.owner.equals(record.claimant()) ? 1 : 0;
+      assertEquals(record.claimant(), record.owner(), "back with its claimant: " + next);
+    }
     Grant after = grant(next);
     if (after != null && !after.equals(before)) {
       handedOver += txn.kind.equals("heir") ? 1 : 0;
@@ -178,6 +184,7 @@
     assertTrue(histories > 3000, histories + " histories");
     assertTrue(handedOver > 50, handedOver + " handed over");
     assertTrue(declaredGone > 50, declaredGone + " declared gone");
+    assertTrue(takenBack > 50, takenBack + " taken back");
   }
 
   @Test
