--- a/src/test/java/io/tansystack/cluster/HeirsTest.java
+++ b/src/test/java/io/tansystack/cluster/HeirsTest.java
@@ -17,7 +17,7 @@
 /**
  * Who owns a machine, walked through: two controllers that register, end, claim it, name heirs for each
  * other and declare it gone, each step decided from a copy of any age, that is, delayed for as long as
- * one likes.
+ * one likes, to six steps from nothing and from a machine that is owned.
  */
 class HeirsTest {
   private static final int DEPTH = 6;
@@ -30,6 +30,7 @@
   /** Who may give commands, and under which token. */
   private record Grant(String owner, long token) {}
 
+  private int depth = DEPTH;
   private final Set<List<Change>> seen = new HashSet<>();
   private int histories;
   private int handedOver;
@@ -120,7 +121,7 @@
   private void walk(List<Change> history) {
     histories++;
     long revision = revision(history);
-    if (revision == DEPTH) {
+    if (revision == depth) {
       return;
     }
     Map<String, Change> present = present(history);
@@ -181,6 +182,18 @@
   @Test
   void ownersNeverShareATokenAndNobodyDeclaresAnothersMachineGone() {
     walk(List.of());
+    // And on from where both have registered and one has claimed it.
+    List<Change> from = new ArrayList<>();
+    for (String label : LABELS) {
+      long revision = revision(from) + 1;
+      Ownership.registration(label, label, "a", 0)
+          .forEach(w -> from.add(new Change(w.key(), w.value(), revision)));
+    }
+    MachineRecord claimed =
+        new MachineRecord(M, "c", "127.0.0.1:1", "g8", "a", false, false, 0, false);
+    from.add(new Change(World.machineKey(M), claimed.write(), 3));
+    depth = 3 + DEPTH;
+    walk(from);
     assertTrue(histories > 3000, histories + " histories");
     assertTrue(handedOver > 50, handedOver + " handed over");
     assertTrue(declaredGone > 50, declaredGone + " declared gone");
