--- a/src/test/java/io/tansystack/cluster/HeirsTest.java
+++ b/src/test/java/io/tansystack/cluster/HeirsTest.java
@@ -1,6 +1,7 @@
 package io.tansystack.cluster;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.tansystack.wire.StoreWire.Change;
@@ -99,7 +100,7 @@
     } else if (!copy.alive(record.owner())) {
       txns.add(
           new Txn(
-              "heir",
+              "heir of " + record.claimant(),
               Ownership.left(copy, record, me),
               List.of(
                   new Write(
@@ -166,9 +167,13 @@
       takenBack += before == null || !before.owner.equals(record.claimant()) ? 1 : 0;
       assertEquals(record.claimant(), record.owner(), "back with its claimant: " + next);
     }
+    if (txn.kind.startsWith("heir of ")) {
+      String claimant = txn.kind.substring("heir of ".length());
+      assertFalse(copy(history).alive(claimant), "taken from one that is back: " + next);
+    }
     Grant after = grant(next);
     if (after != null && !after.equals(before)) {
-      handedOver += txn.kind.equals("heir") ? 1 : 0;
+      handedOver += txn.kind.startsWith("heir of ") ? 1 : 0;
       for (long r = 0; r < revision; r++) {
         Grant earlier = grant(upTo(history, r));
         assertTrue(
--- a/src/test/java/io/tansystack/sim/StartTest.java
+++ b/src/test/java/io/tansystack/sim/StartTest.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /**
  * The start after all controllers went down: they come back one after the other, alone or crossed with
@@ -22,6 +23,9 @@
   private int jobs;
   private int submitted;
 
+  /** The job that was cancelled; null for none. */
+  private String cancelled;
+
   /** What is written for machines that change hands: claims of one, of several, and heirs. */
   private long handedOver() {
     return store.writes("ts/machines/") + store.writes("ts/lots/") + store.writes("ts/heirs/");
@@ -118,13 +122,7 @@
   void aStartCostsNoWorkAndNoStorm(
       int controllers, int machines, int first, int over, int never, int most) throws Exception {
     for (int seed = 1; seed <= (machines > 100 ? 1 : 3); seed++) {
-      store.clear();
-      workers.values().forEach(worker -> worker.dead = true);
-      workers.clear();
-      started.clear();
-      submitted = 0;
-      jobs = 0;
-      random = new Random(seed);
+      anew(seed);
       running(controllers, machines);
       long before = handedOver();
       int rentedBefore = rented.size();
@@ -137,114 +135,156 @@
           "seed " + seed + ": " + (handedOver() - before) + " writes for machines");
       assertEquals(rentedBefore, rented.size(), "nothing was rented for what was not heard of yet");
       allIsDoneInTheEnd(0);
-      for (int i = 0; i < controllers; i++) {
-        if (this.controllers.containsKey(i)) {
-          kill(i);
-        }
+    }
+  }
+
+  /** Ends all controllers, if there is one left; they come back some seconds later. */
+  private void again() {
+    for (int i = 0; i < controllerCount; i++) {
+      if (controllers.containsKey(i)) {
+        kill(i);
+        bootIn(i, Duration.ofMillis(3000 + random.nextInt(1500)));
       }
     }
   }
 
-  /** Crossed with what else may happen in such a night. */
-  @ParameterizedTest
-  @CsvSource({
-    "again,   5, 40", "outage,  5, 40", "dying,   5, 40", "hung,    5, 40", "cut,     5, 40",
-    "rolling, 5, 40", "cancel,  5, 40", "frozen,  5, 40", "pending, 5, 40",
-  })
-  void aStartCrossedWithOtherTroublesBreaksNothing(String trouble, int controllers, int machines)
-      throws Exception {
-    for (int seed = 1; seed <= 2; seed++) {
-      store.clear();
-      workers.clear();
-      started.clear();
-      submitted = 0;
-      jobs = 0;
-      random = new Random(seed);
-      running(controllers, machines);
-      List<StandInWorker> all = List.copyOf(workers.values());
-      boolean mayLose = false;
-      String last = String.format("wk-%06d", jobs - 1);
-      String abort = "/v1/jobs/" + last + "/abort";
-      if (trouble.equals("pending")) {
-        maxMachines += 4; // A rental is under way at the end.
-        work(100);
-        loop.runFor(Duration.ofMillis(120));
+  /** What else may happen in such a night; whether work may be lost by it. */
+  private boolean strike(String trouble) throws Exception {
+    List<StandInWorker> all = List.copyOf(workers.values());
+    switch (trouble) {
+      case "again" -> {
+        loop.runFor(Duration.ofMillis(3000 + random.nextInt(4000)));
+        again();
       }
-      endOfAll(spread(3000, 1500, 0));
-      switch (trouble) {
-        case "again" -> {
-          loop.runFor(Duration.ofMillis(3000 + random.nextInt(4000)));
-          for (int i = 0; i < controllers; i++) {
-            if (this.controllers.containsKey(i)) {
-              kill(i);
-              bootIn(i, Duration.ofMillis(3000 + random.nextInt(1500)));
-            }
-          }
-        }
-        case "outage" -> {
-          loop.runFor(Duration.ofMillis(1000 + random.nextInt(4000)));
-          outage = true;
-          loop.after(Duration.ofSeconds(12), () -> outage = false);
-        }
-        case "dying" -> {
-          loop.runFor(Duration.ofSeconds(1));
-          for (StandInWorker worker : all.subList(0, 5)) {
-            worker.dead = true;
-            workers.remove(worker.name);
-          }
-          mayLose = true;
-        }
-        case "hung" -> {
-          all.subList(0, 12).forEach(worker -> unheard.add(worker.name));
-          loop.after(Duration.ofSeconds(25 + seed * 20), unheard::clear);
-          mayLose = true;
-        }
-        case "cut" -> {
-          silent.add(0);
-          loop.after(Duration.ofSeconds(40), silent::clear);
+      case "outage" -> {
+        loop.runFor(Duration.ofMillis(1000 + random.nextInt(4000)));
+        outage = true;
+        loop.after(Duration.ofSeconds(12), () -> outage = false);
+      }
+      case "dying" -> {
+        loop.runFor(Duration.ofSeconds(1));
+        for (StandInWorker worker : all.subList(0, Math.min(5, all.size()))) {
+          worker.dead = true;
+          workers.remove(worker.name);
         }
-        case "rolling" -> {
-          loop.runFor(Duration.ofSeconds(6));
-          for (int i = 0; i < controllers; i++) {
+      }
+      case "hung" -> {
+        all.subList(0, all.size() / 3).forEach(worker -> unheard.add(worker.name));
+        loop.after(Duration.ofSeconds(25 + random.nextInt(40)), unheard::clear);
+      }
+      case "cut" -> {
+        silent.add(0);
+        loop.after(Duration.ofSeconds(40), silent::clear);
+      }
+      case "rolling" -> {
+        loop.runFor(Duration.ofSeconds(6));
+        for (int i = 0; i < controllerCount; i++) {
+          if (controllers.containsKey(i)) {
             kill(i);
             boot(i);
-            loop.runFor(Duration.ofSeconds(3));
           }
+          loop.runFor(Duration.ofSeconds(3));
         }
-        case "cancel" -> {
-          loop.runFor(Duration.ofSeconds(6));
-          ObjectNode[] answer = new ObjectNode[1];
-          for (int t = 0; t < 5 && call("POST", abort, new byte[0], answer) != 200; t++) {
-            loop.runFor(Duration.ofSeconds(1));
-          }
-          assertEquals("withdrawn", answer[0].get("Status").asText());
-          loop.runFor(Duration.ofSeconds(8));
-          assertTrue(
-              workers.values().stream()
-                  .flatMap(w -> w.live().stream())
-                  .noneMatch(task -> task.startsWith(last + "/")),
-              "what was cancelled during the start is gone soon");
-          assertEquals("withdrawn", state(last));
-          mayLose = true;
-        }
-        case "frozen" -> {
-          loop.runFor(Duration.ofSeconds(5));
-          processes.get(random.nextInt(controllers)).freeze(Duration.ofSeconds(20));
-        }
-        default -> loop.runFor(Duration.ofSeconds(1));
       }
-      loop.runFor(Duration.ofSeconds(240));
-      noStorm();
-      if (!mayLose) {
-        assertEquals(0, lost(), trouble + " seed " + seed);
-        allIsDoneInTheEnd(0);
-      }
-      for (int j = 0; j < jobs - (trouble.equals("cancel") ? 1 : 0); j++) {
-        assertEquals("done", state(String.format("wk-%06d", j)), trouble + " seed " + seed + " job " + j);
+      case "cancel" -> cancel(String.format("wk-%06d", jobs - 1));
+      case "frozen" -> {
+        loop.runFor(Duration.ofSeconds(5));
+        int victim = random.nextInt(controllerCount);
+        if (controllers.containsKey(victim)) {
+          processes.get(victim).freeze(Duration.ofSeconds(20));
+        }
       }
-      for (int i = 0; i < controllers; i++) {
+      default -> loop.runFor(Duration.ofSeconds(1));
+    }
+    return trouble.equals("dying") || trouble.equals("hung") || trouble.equals("cancel");
+  }
+
+  private void cancel(String id) {
+    loop.runFor(Duration.ofSeconds(6));
+    ObjectNode[] answer = new ObjectNode[1];
+    int status = 0;
+    for (int tries = 0; tries < 20 && status != 200; tries++) {
+      status = call("POST", "/v1/jobs/" + id + "/abort", new byte[0], answer);
+      loop.runFor(Duration.ofSeconds(1));
+    }
+    assertEquals(200, status);
+    cancelled = answer[0].get("Status").asText().equals("withdrawn") ? id : null;
+  }
+
+  /** The end of a night: the rules, no storm, every answer, and each task started no more than needed. */
+  private void quietInTheEnd(String what, boolean mayLose) {
+    loop.runFor(Duration.ofSeconds(60));
+    assertTrue(
+        workers.values().stream()
+            .flatMap(worker -> worker.live().stream())
+            .noneMatch(task -> task.startsWith(cancelled + "/")),
+        what + ": what was cancelled during the start is gone");
+    loop.runFor(Duration.ofSeconds(240));
+    noStorm();
+    for (int j = 0; j < jobs; j++) {
+      String id = String.format("wk-%06d", j);
+      assertEquals(id.equals(cancelled) ? "withdrawn" : "done", state(id), what + " job " + j);
+    }
+    if (!mayLose) {
+      assertEquals(0, lost(), what);
+      assertEquals(submitted, started.size(), what);
+    }
+  }
+
+  private void anew(long seed) {
+    for (int i = 0; i < controllerCount; i++) {
+      if (controllers.containsKey(i)) {
         kill(i);
       }
     }
+    store.clear();
+    workers.values().forEach(worker -> worker.dead = true);
+    workers.clear();
+    started.clear();
+    submitted = 0;
+    jobs = 0;
+    cancelled = null;
+    random = new Random(seed);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"again", "outage", "dying", "hung", "cut", "rolling", "cancel", "frozen", "pending"})
+  void aStartCrossedWithOtherTroublesBreaksNothing(String trouble) throws Exception {
+    for (int seed = 1; seed <= 2; seed++) {
+      anew(seed);
+      running(5, 40);
+      if (trouble.equals("pending")) {
+        maxMachines += 4; // A rental is under way at the end.
+        work(100);
+        loop.runFor(Duration.ofMillis(120));
+      }
+      endOfAll(spread(3000, 1500, 0));
+      boolean mayLose = strike(trouble);
+      quietInTheEnd(trouble + " seed " + seed, mayLose);
+    }
+  }
+
+  /** Starts of any size and spread, with up to three troubles that come as they like. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void aDrawnStartBreaksNothing(long seed) throws Exception {
+    anew(seed);
+    running(3 + random.nextInt(5), 12 + random.nextInt(30));
+    endOfAll(spread(random.nextInt(7000), 1 + random.nextInt(30_000), 0));
+    List<String> troubles =
+        List.of("again", "outage", "dying", "hung", "cut", "rolling", "cancel", "frozen", "none");
+    boolean mayLose = false;
+    String what = "seed " + seed;
+    boolean cutOrOut = false;
+    for (int i = random.nextInt(4); i > 0; i--) {
+      loop.runFor(Duration.ofMillis(random.nextInt(15_000)));
+      String trouble = troubles.get(random.nextInt(troubles.size()));
+      what += " " + trouble;
+      mayLose |= strike(trouble);
+      // Two of these after each other, on top of the end, may well outlast a lease.
+      mayLose |= cutOrOut;
+      cutOrOut = true;
+    }
+    quietInTheEnd(what, mayLose || cutOrOut);
   }
 }
