--- a/src/main/java/io/tansystack/cluster/PlacementIndex.java
+++ b/src/main/java/io/tansystack/cluster/PlacementIndex.java
@@ -39,6 +39,11 @@
     this.jobs = jobs;
   }
 
+  /** Machines on which something is recorded. */
+  Set<String> machines() {
+    return byMachine.keySet();
+  }
+
   List<Placed> on(String machine) {
     return byMachine.getOrDefault(machine, List.of());
   }
--- a/src/main/java/io/tansystack/fleet/Returns.java
+++ b/src/main/java/io/tansystack/fleet/Returns.java
@@ -1,11 +1,13 @@
 package io.tansystack.fleet;
 
+import io.tansystack.cluster.Keys;
 import io.tansystack.cluster.MachineRecord;
 import io.tansystack.cluster.World;
 import io.tansystack.http.Loop;
 import io.tansystack.store.StoreClient.Result;
 import io.tansystack.store.StoreClient;
 import io.tansystack.wire.CloudWire;
+import io.tansystack.wire.StoreWire.Condition;
 import io.tansystack.wire.StoreWire.Write;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -72,7 +74,7 @@
     if (!draining.add(record.name())) {
       return;
     }
-    String key = World.machineKey(record.name());
+    String key = Keys.machineKey(record.name());
     store.commitUrgent(
         List.of(record.condition()),
         List.of(new Write(key, record.draining().write(), 0)),
@@ -120,12 +122,13 @@
     }
     onReturned.accept(name);
     MachineRecord record = world.machine(name);
-    if (record == null) {
-      return;
+    if (record == null && (world.isGone(name) || world.placedOn(name).isEmpty())) {
+      return; // Nothing waits for the proof.
     }
     store.commitUrgent(
         // Without it, a deletion decided before the copy showed a lot would uncover what the lot says.
-        List.of(record.condition()),
+        List.of(
+            record == null ? new Condition(Keys.machineKey(name), 0) : record.condition()),
         List.of(world.gone(name)),
         Duration.ofSeconds(3),
         (result, revision) -> {
@@ -137,7 +140,7 @@
             loop.after(
                 Duration.ofMillis(500),
                 () -> {
-                  if (world.machine(name) != null) {
+                  if (world.machine(name) != null || !world.placedOn(name).isEmpty()) {
                     mark(name, "its record is still to be removed");
                   }
                 });
--- a/src/main/java/io/tansystack/jobs/Lookup.java
+++ b/src/main/java/io/tansystack/jobs/Lookup.java
@@ -1,5 +1,6 @@
 package io.tansystack.jobs;
 
+import io.tansystack.cluster.Keys;
 import io.tansystack.cluster.World.Job;
 import io.tansystack.cluster.World;
 import io.tansystack.http.Loop;
@@ -91,7 +92,7 @@
   /** @param askedAt when the question came: what was committed before that is found */
   void find(String id, Duration askedAt, Found found) {
     read(
-        World.jobKey(id),
+        Keys.jobKey(id),
         found,
         change -> {
           if (change != null) {
@@ -155,7 +156,7 @@
   private void amongEnded(String id, Found found) {
     Job shown = world.job(id);
     read(
-        World.endedKey(id),
+        Keys.endedKey(id),
         found,
         change -> {
           if (change != null) {
--- a/src/main/java/io/tansystack/jobs/UserApi.java
+++ b/src/main/java/io/tansystack/jobs/UserApi.java
@@ -1,5 +1,6 @@
 package io.tansystack.jobs;
 
+import io.tansystack.cluster.Keys;
 import io.tansystack.cluster.World.Job;
 import io.tansystack.cluster.World;
 import io.tansystack.http.HttpServer.Reply;
@@ -204,10 +205,10 @@
   }
 
   private void cancel(String id, JobRecord record, long version, int tries, Once once) {
-    String key = World.jobKey(id);
+    String key = Keys.jobKey(id);
     store.commitUrgent(
-        World.unchanged(id, version),
-        List.of(new Write(key, record.cancelled().write(), 0)),
+        Keys.unchanged(id, version),
+        List.of(new Write(key, world.base().written(record.cancelled()), 0)),
         CANCEL_WAIT,
         (result, revision) -> {
           switch (result) {
--- a/src/main/java/io/tansystack/workers/LotWriter.java
+++ b/src/main/java/io/tansystack/workers/LotWriter.java
@@ -1,5 +1,6 @@
 package io.tansystack.workers;
 
+import io.tansystack.cluster.Keys;
 import io.tansystack.cluster.MachineRecord;
 import io.tansystack.cluster.World;
 import io.tansystack.http.Loop;
@@ -32,7 +33,7 @@
 
   private record Claim(MachineRecord record, Committed then) {
     Condition unclaimed() {
-      return new Condition(World.machineKey(record.name()), 0);
+      return new Condition(Keys.machineKey(record.name()), 0);
     }
   }
 
@@ -82,7 +83,7 @@
   }
 
   private void alone(Claim claim) {
-    String key = World.machineKey(claim.record.name());
+    String key = Keys.machineKey(claim.record.name());
     commit(
         List.of(claim),
         List.of(claim.unclaimed()),
@@ -91,7 +92,7 @@
   }
 
   private void together(List<Claim> lot) {
-    String key = World.lotKey(boot + "-" + counter++);
+    String key = Keys.lotKey(boot + "-" + counter++);
     List<Condition> conditions = new ArrayList<>();
     conditions.add(new Condition(key, 0));
     lot.forEach(claim -> conditions.add(claim.unclaimed()));
