--- a/src/test/java/io/tansystack/cluster/HeirsTest.java
+++ b/src/test/java/io/tansystack/cluster/HeirsTest.java
@@ -8,7 +8,6 @@
 import io.tansystack.wire.StoreWire.Condition;
 import io.tansystack.wire.StoreWire.Write;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -38,28 +37,6 @@
   private int declaredGone;
   private int takenBack;
 
-  private static World copy(List<Change> history) {
-    World world = new World(touched -> {});
-    world.changes(history, revision(history));
-    return world;
-  }
-
-  private static long revision(List<Change> history) {
-    return history.isEmpty() ? 0 : history.get(history.size() - 1).version();
-  }
-
-  private static Map<String, Change> present(List<Change> history) {
-    Map<String, Change> present = new HashMap<>();
-    for (Change change : history) {
-      if (change.value() == null) {
-        present.remove(change.key());
-      } else {
-        present.put(change.key(), change);
-      }
-    }
-    return present;
-  }
-
   private static List<Change> upTo(List<Change> history, long revision) {
     return history.stream().filter(change -> change.version() <= revision).toList();
   }
@@ -112,7 +89,7 @@
   }
 
   private static Grant grant(List<Change> history) {
-    World world = copy(history);
+    World world = Histories.copy(history);
     MachineRecord record = world.machine(M);
     return record != null && world.alive(record.owner())
         ? new Grant(record.owner(), world.token(record))
@@ -121,24 +98,19 @@
 
   private void walk(List<Change> history) {
     histories++;
-    long revision = revision(history);
+    long revision = Histories.revision(history);
     if (revision == depth) {
       return;
     }
-    Map<String, Change> present = present(history);
+    Map<String, Change> present = Histories.present(history);
     for (String label : LABELS) {
       if (present.containsKey(World.controllerKey(label))) {
         apply(history, 0, new Txn("ends", List.of(), List.of(new Write(World.controllerKey(label), null, 0))));
       }
       for (long age = 0; age <= revision; age++) {
-        for (Txn txn : possible(copy(upTo(history, revision - age)), label)) {
+        for (Txn txn : possible(Histories.copy(upTo(history, revision - age)), label)) {
           boolean holds =
-              txn.conditions.stream()
-                  .allMatch(
-                      c -> {
-                        Change change = present.get(c.key());
-                        return (change == null ? 0 : change.version()) == c.version();
-                      });
+              txn.conditions.stream().allMatch(c -> Histories.holds(c, present));
           if (holds) {
             apply(history, age, txn);
           }
@@ -148,7 +120,7 @@
   }
 
   private void apply(List<Change> history, long age, Txn txn) {
-    long revision = revision(history) + 1;
+    long revision = Histories.revision(history) + 1;
     List<Change> next = new ArrayList<>(history);
     txn.writes.forEach(w -> next.add(new Change(w.key(), w.value(), revision)));
     if (!seen.add(next)) {
@@ -162,14 +134,14 @@
         assertEquals(decided, grant(upTo(history, r)), "somebody else held it meanwhile: " + next);
       }
     }
-    MachineRecord record = copy(next).machine(M);
+    MachineRecord record = Histories.copy(next).machine(M);
     if (record != null && txn.kind.equals("registers " + record.claimant())) {
       takenBack += before == null || !before.owner.equals(record.claimant()) ? 1 : 0;
       assertEquals(record.claimant(), record.owner(), "back with its claimant: " + next);
     }
     if (txn.kind.startsWith("heir of ")) {
       String claimant = txn.kind.substring("heir of ".length());
-      assertFalse(copy(history).alive(claimant), "taken from one that is back: " + next);
+      assertFalse(Histories.copy(history).alive(claimant), "taken from one that is back: " + next);
     }
     Grant after = grant(next);
     if (after != null && !after.equals(before)) {
@@ -190,7 +162,7 @@
     // And on from where both have registered and one has claimed it.
     List<Change> from = new ArrayList<>();
     for (String label : LABELS) {
-      long revision = revision(from) + 1;
+      long revision = Histories.revision(from) + 1;
       Ownership.registration(label, label, "a", 0)
           .forEach(w -> from.add(new Change(w.key(), w.value(), revision)));
     }
--- a/src/test/java/io/tansystack/cluster/MachinesTest.java
+++ b/src/test/java/io/tansystack/cluster/MachinesTest.java
@@ -9,7 +9,6 @@
 import io.tansystack.wire.StoreWire.Condition;
 import io.tansystack.wire.StoreWire.Write;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -38,25 +37,6 @@
     return new MachineRecord(name, owner, "127.0.0.1:1", "g8", "a", false, false, 0, false);
   }
 
-  private static World copy(List<Change> history) {
-    World world = new World(touched -> {});
-    world.changes(history, history.size());
-    return world;
-  }
-
-  /** The keys that are there at the end of a history. */
-  private static Map<String, Change> present(List<Change> history) {
-    Map<String, Change> present = new HashMap<>();
-    for (Change change : history) {
-      if (change.value() == null) {
-        present.remove(change.key());
-      } else {
-        present.put(change.key(), change);
-      }
-    }
-    return present;
-  }
-
   /** All that a controller with this copy may ask for. */
   private static List<Txn> possible(World copy) {
     List<Txn> txns = new ArrayList<>();
@@ -97,25 +77,20 @@
     return txns;
   }
 
-  private static boolean holds(Condition condition, Map<String, Change> present) {
-    Change change = present.get(condition.key());
-    return (change == null ? 0 : change.version()) == condition.version();
-  }
-
   private void walk(List<Change> history) {
     histories++;
     invariants(history);
     if (history.size() == DEPTH) {
       return;
     }
-    Map<String, Change> present = present(history);
+    Map<String, Change> present = Histories.present(history);
     for (int age = 0; age <= history.size(); age++) {
-      for (Txn txn : possible(copy(history.subList(0, history.size() - age)))) {
+      for (Txn txn : possible(Histories.copy(history.subList(0, history.size() - age)))) {
         boolean reused =
             txn.kind.equals("lot")
                 && history.stream().anyMatch(c -> c.key().equals(txn.write.key()));
         boolean nothing = txn.write.value() == null && !present.containsKey(txn.write.key());
-        if (reused || nothing || !txn.conditions.stream().allMatch(c -> holds(c, present))) {
+        if (reused || nothing || !txn.conditions.stream().allMatch(c -> Histories.holds(c, present))) {
           continue;
         }
         List<Change> next = new ArrayList<>(history);
@@ -129,8 +104,8 @@
   }
 
   private void step(String kind, List<Change> history, List<Change> next) {
-    World before = copy(history);
-    World after = copy(next);
+    World before = Histories.copy(history);
+    World after = Histories.copy(next);
     String what = kind + " after " + history;
     switch (kind) {
       case "removal" -> {
@@ -158,23 +133,23 @@
   }
 
   private void invariants(List<Change> history) {
-    Map<String, Change> present = present(history);
-    World now = copy(history);
+    Map<String, Change> present = Histories.present(history);
+    World now = Histories.copy(history);
     List<MachineRecord> counted = new ArrayList<>();
     for (int r = 0; r <= history.size(); r++) {
-      counted.add(copy(history.subList(0, r)).machine(M));
+      counted.add(Histories.copy(history.subList(0, r)).machine(M));
     }
     for (int r = 0; r <= history.size(); r++) {
       MachineRecord then = counted.get(r);
       boolean throughout = counted.subList(r, counted.size()).stream().allMatch(Objects::nonNull);
-      if (then != null && throughout && holds(then.condition(), present)) {
+      if (then != null && throughout && Histories.holds(then.condition(), present)) {
         assertEquals(then, now.machine(M), "nothing has happened to it since " + r + ": " + history);
       }
-      Map<String, Change> early = present(history.subList(0, r));
+      Map<String, Change> early = Histories.present(history.subList(0, r));
       for (int late = r; late <= history.size(); late++) {
         List<Change> pages = new ArrayList<>();
         early.values().stream().filter(c -> c.key().contains("lots/")).forEach(pages::add);
-        present(history.subList(0, late)).values().stream()
+        Histories.present(history.subList(0, late)).values().stream()
             .filter(c -> c.key().contains("machines/"))
             .forEach(pages::add);
         World loaded = new World(touched -> {});
