Machines that don't hear, late copies of reports, and a controller left with its workers alone

In the simulated cluster a machine that hears nobody was claimed by each controller in turn: 117 writes for 8 machines in 150 s, and new work went on being placed there. A copy of a report counted as a sign of life and as an answer, and one of a machine that was gone had it claimed anew. A controller that heard neither the state service nor a peer went on saying that users may come.

An owner now tells from what reports show that its answers are not heard (a token that is not taken up, reports to several others in between, a new session though answered, commands without an answer): the machine counts as silent, and says nothing of its owner. Who can't reach its owner is back at the next controller within 8 s and is claimed; who hears nobody takes longer and isn't. A report that is no newer than the last one renews nothing; a first session of a machine that has gone is no news; nothing is placed before a machine has shown a token, and until then it counts as room about to come. /up is 503 without the state service and without any peer.

HalfHeardTest plays all of them, alone and drawn, with users who ask about each accepted job throughout (Asker): none denied, taken back, or without an answer for 75 s once all is over.

--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -342,13 +342,14 @@
 
   /**
    * Whether users should come here. With the state service silent for this controller alone they had
-   * better go to another; if nobody reaches it, moving them around helps nobody.
+   * better go to another; if nobody reaches it, moving them around helps nobody. One that hears of no
+   * other controller either is the one that is cut off.
    */
   private boolean ready() {
     if (!world.loaded() || !lease.registered()) {
       return false;
     }
-    return storeAnswers() || !peers.somePeerValid();
+    return storeAnswers() || (peers.somePeerHeard() && !peers.somePeerValid());
   }
 
   private boolean storeAnswers() {
--- a/src/main/java/io/tansystack/cluster/Machines.java
+++ b/src/main/java/io/tansystack/cluster/Machines.java
@@ -11,6 +11,7 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -28,6 +29,8 @@
 final class Machines {
   private record Lot(long version, Map<String, MachineRecord> named) {}
 
+  private static final int MAX_GONE = 5000;
+
   /** What stands under a machine's own key; {@code record} null: it is gone. */
   private record Own(long version, MachineRecord record) {}
 
@@ -41,6 +44,9 @@
 
   private final Map<String, MachineRecord> index = new HashMap<>();
 
+  /** Names of machines that are gone; the cloud gives none twice. */
+  private final Set<String> gone = new LinkedHashSet<>();
+
   static ObjectNode lot(Collection<MachineRecord> records) {
     ObjectNode map = Cbor.map();
     ArrayNode list = map.putArray("machines");
@@ -61,6 +67,11 @@
     return index.get(name);
   }
 
+  /** Whether a machine of the name was seen to go, as far as is remembered. */
+  boolean isGone(String name) {
+    return gone.contains(name) && get(name) == null;
+  }
+
   /** The version of the machine's own key; 0 if there is none. */
   long ownVersion(String name) {
     Own o = own.get(name);
@@ -140,7 +151,12 @@
     }
     if (counts == null) {
       machines.remove(name);
-      index.remove(name);
+      if (index.remove(name) != null) {
+        gone.add(name);
+        if (gone.size() > MAX_GONE) {
+          gone.remove(gone.iterator().next());
+        }
+      }
     } else {
       machines.put(name, counts);
       index.put(name, counts);
--- a/src/main/java/io/tansystack/cluster/World.java
+++ b/src/main/java/io/tansystack/cluster/World.java
@@ -312,6 +312,11 @@
     return types;
   }
 
+  /** Whether a machine of the name was seen to go: no report of its first session is news of it. */
+  public boolean wasMachine(String name) {
+    return machines.isGone(name);
+  }
+
   /** Jobs with work or placements left; those that are over and empty are not among them. */
   public Map<String, Job> jobs() {
     return Collections.unmodifiableMap(jobs);
--- a/src/main/java/io/tansystack/fleet/Inventory.java
+++ b/src/main/java/io/tansystack/fleet/Inventory.java
@@ -254,12 +254,18 @@
     return boots.overdue();
   }
 
+  /** It was claimed and has not shown that it heard of it: it will at once, or has long ended. */
+  private boolean arriving(String name) {
+    View view = views.apply(name);
+    return view != null && view.report().token() == 0;
+  }
+
   /** What counts as room about to come. */
   List<Kind> booting(Duration now) {
     List<Kind> booting = new ArrayList<>();
     for (Map.Entry<String, Known> entry : known.entrySet()) {
       Known k = entry.getValue();
-      if (world.machine(entry.getKey()) == null
+      if ((world.machine(entry.getKey()) == null || arriving(entry.getKey()))
           && k.status != Status.FAILED
           && !returns.isMarked(entry.getKey())
           && boots.counts(k.kind.type(), k.statedBootS, k.ageS(now))) {
--- a/src/main/java/io/tansystack/jobs/JobBook.java
+++ b/src/main/java/io/tansystack/jobs/JobBook.java
@@ -332,6 +332,7 @@
             && !faulty
             && world.alive(record.owner())
             && view.token() == world.token(record)
+            && view.report().token() > 0 // Else a late copy of a report may be all there is of it.
             && view.report().noticeS() == null
             && view.silentMs() < patience;
     return new MachineState(
--- a/src/main/java/io/tansystack/peers/PeerLink.java
+++ b/src/main/java/io/tansystack/peers/PeerLink.java
@@ -378,6 +378,12 @@
     }
   }
 
+  /** Whether some peer was heard of lately, or there is none. */
+  public boolean somePeerHeard() {
+    return links.isEmpty()
+        || links.values().stream().anyMatch(link -> heardWithin(link, Duration.ofSeconds(3)));
+  }
+
   /** Whether some peer that was heard of lately says that it may act. */
   public boolean somePeerValid() {
     for (Link link : links.values()) {
--- a/src/main/java/io/tansystack/workers/Claims.java
+++ b/src/main/java/io/tansystack/workers/Claims.java
@@ -28,9 +28,17 @@
 final class Claims {
   private static final Logger log = LoggerFactory.getLogger(Claims.class);
   private static final Duration CLAIM_WAIT = Duration.ofMillis(3500);
-  private static final Duration SENT_BACK = Duration.ofSeconds(20);
+
+  /**
+   * Who was sent to its owner and can't reach it is back within this: 4 s without an answer, and a second.
+   * One that hears nobody goes round all controllers first, and a claim of it would only be followed by
+   * the next one's.
+   */
+  private static final Duration SENT_BACK = Duration.ofSeconds(8);
+
   private static final double CLAIM_SHARE = 0.25;
   private static final int MAX_SENT_AWAY = 10_000;
+  private static final long FIRST = 1;
   static final int COME_AGAIN_S = 1;
 
   /** Told of a worker whose claim has come true, to be answered as the owner's. */
@@ -127,6 +135,11 @@
    */
   void claimOrRedirect(MachineRecord record, Report report, Reply reply) {
     Duration now = loop.now();
+    if (record == null && report.session() <= FIRST && world.wasMachine(report.machine())) {
+      // A machine counts as gone once its session is over, so this is a late copy of what it said before.
+      reply.send(503, Cbor.encode(Answers.error("the machine is gone")), COME_AGAIN_S);
+      return;
+    }
     boolean ownerLives = record != null && verdict(record) == Verdict.HERE;
     String to = null;
     if (ownerLives) {
--- a/src/main/java/io/tansystack/workers/OwnedMachine.java
+++ b/src/main/java/io/tansystack/workers/OwnedMachine.java
@@ -16,6 +16,8 @@
 
 /** What the owner of a machine knows of it, and what it has under way to it. */
 final class OwnedMachine {
+  private static final int ENOUGH = 2;
+
   final String name;
   final MachineHistory history;
   Report latest;
@@ -23,6 +25,9 @@
   /** The newest report that came as such, as it came: the next one often differs in its number only. */
   private byte[] lastBody;
 
+  /** The newest message that came as a report: one that is no newer is a copy, or was held up. */
+  private Report heard;
+
   private ReportHead lastHead;
   private Report lastRead;
   private byte[] answer;
@@ -33,9 +38,15 @@
 
   InetSocketAddress address;
 
-  /** Receipt of the last report that was answered with 200. */
+  /** Receipt of the last report that was answered with 200, copies of earlier ones aside. */
   Duration answeredAt;
 
+  /** When it last showed that our answers reach it. */
+  Duration hearsAt;
+
+  /** Signs since then that they don't. */
+  private int unheeded;
+
   /** The token under which that was answered. */
   long answeredUnder = -1;
 
@@ -70,6 +81,7 @@
     this.name = name;
     this.history = history;
     this.answeredAt = now;
+    this.hearsAt = now;
     this.forgetAt = now.plus(Orders.FORGET_WAIT);
   }
 
@@ -95,6 +107,46 @@
     return lastRead;
   }
 
+  /**
+   * A report came and is answered under the token. The worker's lease counts from the sending of a report
+   * that it had an answer to. A copy gets no answer to where it counts, and what it repeats was answered
+   * when it came first, or given up by the worker before it sent the newer one: it renews nothing.
+   *
+   * <p>Reports may arrive while no answer reaches the worker. Then it doesn't show the token that it was
+   * told, reports to others between two reports to us, or begins a new session though it was answered.
+   */
+  void answered(Report report, long token, Duration now) {
+    if (heard != null && !report.newerThan(heard)) {
+      return;
+    }
+    boolean heeds = true;
+    if (heard != null && answeredUnder >= 0) {
+      long elsewhere = report.seq() - Math.max(heard.seq(), latest.seq()) - 1;
+      boolean again = report.session() > heard.session();
+      boolean ignores = report.token() < answeredUnder;
+      heeds = elsewhere <= 0 && !again && !ignores;
+      // Sent back by one other controller it may have been; who hears is not sent to a second one.
+      unheeded += again || elsewhere > 1 ? ENOUGH : heeds ? 0 : 1;
+    }
+    if (heeds && report.token() == token) {
+      unheeded = 0;
+      hearsAt = now;
+    }
+    heard = report.without();
+    answeredAt = now;
+    answeredUnder = token;
+  }
+
+  /** Commands to it had no answer. */
+  void ignoredCommands() {
+    unheeded++;
+  }
+
+  /** Whether it is heard, and does not hear this controller. */
+  boolean unhearing() {
+    return unheeded >= ENOUGH;
+  }
+
   /** What its reports are answered with under the token. */
   byte[] answer(long token) {
     if (answerToken != token) {
--- a/src/main/java/io/tansystack/workers/Silences.java
+++ b/src/main/java/io/tansystack/workers/Silences.java
@@ -23,18 +23,26 @@
     return listeningSince;
   }
 
+  /** For how long the machine has not been heard, or has not heard: either way it is of no use. */
   Duration of(OwnedMachine machine, Duration now) {
-    boolean later = machine.answeredAt.compareTo(listeningSince) > 0;
-    return now.minus(later ? machine.answeredAt : listeningSince);
+    return since(machine.unhearing() ? machine.hearsAt : machine.answeredAt, now);
   }
 
-  /** Looks at all machines of this controller. */
+  private Duration since(Duration last, Duration now) {
+    return now.minus(last.compareTo(listeningSince) > 0 ? last : listeningSince);
+  }
+
+  /** Looks at all machines of this controller, but for those that it hears and that don't hear it. */
   void judge(Collection<OwnedMachine> machines, Duration now) {
     int silent = 0;
+    int all = 0;
     for (OwnedMachine machine : machines) {
-      silent += Telling.silent(of(machine, now)) ? 1 : 0;
+      if (!machine.unhearing()) {
+        all++;
+        silent += Telling.silent(since(machine.answeredAt, now)) ? 1 : 0;
+      }
     }
-    deaf = silent > 2 && silent > machines.size() * WorkerDesk.MASS;
+    deaf = silent > 2 && silent > all * WorkerDesk.MASS;
   }
 
   /** Whether most machines had fallen silent together when they were looked at last. */
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -171,8 +171,7 @@
       }
       return;
     }
-    machine.answeredAt = now;
-    machine.answeredUnder = token;
+    machine.answered(report, token, now);
     if (machine.latest == null) {
       lost += Start.lost(world.placedOn(record.name()), report.session());
     }
--- /dev/null
+++ b/src/test/java/io/tansystack/sim/HalfHeardTest.java
@@ -0,0 +1,211 @@
+package io.tansystack.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Who is heard but doesn't hear, messages that come once more, controllers that keep their workers and
+ * nothing else, and processes that are back before anybody noticed. Nothing accepted is forgotten.
+ */
+class HalfHeardTest extends SimCluster {
+  private static final Duration ANSWERED = Duration.ofSeconds(75);
+
+  private final Asker asker = new Asker(this);
+  private int jobs;
+
+  private void running(int controllers, int machines, int tasks) throws Exception {
+    controllerCount = controllers;
+    maxMachines = machines;
+    for (int i = 0; i < controllers; i++) {
+      boot(i);
+    }
+    loop.runFor(Duration.ofSeconds(12));
+    work(tasks);
+    loop.runFor(Duration.ofSeconds(14));
+  }
+
+  private void work(int tasks) {
+    String id = String.format("wk-%06d", jobs++);
+    submit(id, tasks);
+    asker.accepted(id);
+  }
+
+  private void allIsWell(String what) {
+    asker.calm();
+    loop.runFor(Duration.ofSeconds(300));
+    check();
+    assertEquals(Set.of(), broken, what);
+    assertEquals(List.of(), asker.wrong, what);
+    for (Map.Entry<String, Duration> wait : asker.waits().entrySet()) {
+      assertTrue(wait.getValue().compareTo(ANSWERED) < 0, what + ": " + wait);
+    }
+    for (int j = 0; j < jobs; j++) {
+      assertEquals("done", state(String.format("wk-%06d", j)), what + " job " + j);
+    }
+  }
+
+  /**
+   * Its reports arrive, nothing reaches it, for less than a lease, about a lease, and far longer. What ran
+   * there runs elsewhere once the worker's next session proves it over, nothing more is sent there, and
+   * neither the owner nor the others write for each report.
+   */
+  @ParameterizedTest
+  @CsvSource({"5, 3", "34, 3", "38, 3", "150, 3", "150, 8"})
+  void machinesThatDoNotHearAreLeftAlone(int seconds, int count) throws Exception {
+    running(3, 20, 80);
+    List<StandInWorker> deaf = List.copyOf(workers.values()).subList(0, count);
+    deaf.forEach(worker -> unhearing.add(worker.name));
+    Map<String, Long> before = new HashMap<>();
+    deaf.forEach(worker -> before.put(worker.name, store.writes("ts/machines/" + worker.name)));
+    loop.runFor(Duration.ofSeconds(seconds));
+    for (StandInWorker worker : deaf) {
+      long writes = store.writes("ts/machines/" + worker.name) - before.get(worker.name);
+      assertTrue(writes <= 5, writes + " writes for " + worker.name);
+    }
+    unhearing.clear();
+    work(40);
+    allIsWell(count + " for " + seconds + " s");
+  }
+
+  /** Cancelled work on a machine that hears nothing ends with its lease, which nobody renews. */
+  @Test
+  void cancelledWorkOnAMachineThatDoesNotHearIsGoneInTime() throws Exception {
+    running(3, 12, 40);
+    workers.keySet().stream().limit(4).forEach(unhearing::add);
+    loop.runFor(Duration.ofSeconds(2));
+    assertEquals(
+        200,
+        call("POST", "/v1/jobs/wk-000000/abort", new byte[0], new ObjectNode[1]));
+    loop.runFor(Duration.ofSeconds(61));
+    workers.values().forEach(worker -> assertEquals(List.of(), worker.live(), worker.name));
+    assertEquals("withdrawn", state("wk-000000"));
+  }
+
+  /**
+   * A controller has only its users and workers left. They are told so at once, its workers go while
+   * their leases have time, and nothing that ran is lost, whether it is away for a moment or for good.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {3, 8, 12, 18, 25, 40, 90})
+  void aControllerWithNothingButItsWorkersLosesNone(int seconds) throws Exception {
+    running(3, 18, 72);
+    int victim = Integer.parseInt(store.values.get("ts/fleet").get("label").asText().substring(2));
+    int before = started.size();
+    apart.add(victim);
+    loop.runFor(Duration.ofSeconds(seconds));
+    if (seconds > 5 && seconds < 90) {
+      int[] status = new int[1];
+      controllers.get(victim).front("GET", "/up", new byte[0], (s, b, r) -> status[0] = s);
+      assertEquals(503, status[0], "users had better go to another");
+    }
+    apart.clear();
+    loop.runFor(Duration.ofSeconds(60));
+    assertEquals(0, workers.values().stream().mapToInt(worker -> worker.lost).sum(), "leases that ran out");
+    assertTrue(started.size() >= before);
+    allIsWell("apart for " + seconds + " s");
+  }
+
+  /** Copies of reports, from seconds to well over a lease late, at any controller, through ends of all. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void copiesOfReportsProveNothing(long seed) throws Exception {
+    random = new Random(seed);
+    copies = 0.5;
+    running(3, 12, 100);
+    for (int i = 0; i < 3; i++) {
+      List<StandInWorker> all = List.copyOf(workers.values());
+      all.get(random.nextInt(all.size())).dead = true;
+      kill(i);
+      loop.runFor(Duration.ofMillis(200));
+      boot(i);
+      loop.runFor(Duration.ofSeconds(20));
+      work(30);
+    }
+    copies = 0;
+    allIsWell("seed " + seed);
+  }
+
+  /** What is drawn: each lasts for a while of its own, and the next may come before it is over. */
+  private void strike() {
+    List<StandInWorker> all = List.copyOf(workers.values());
+    int victim = random.nextInt(controllerCount);
+    Duration lasts = Duration.ofMillis(300 + random.nextInt(50_000));
+    switch (random.nextInt(9)) {
+      case 0 -> {
+        List<String> deaf = new ArrayList<>();
+        all.subList(0, all.size() * 2 / 5).forEach(worker -> deaf.add(worker.name));
+        unhearing.addAll(deaf);
+        loop.after(lasts, () -> unhearing.removeAll(deaf));
+      }
+      case 1 -> copies = random.nextDouble();
+      case 2, 3 -> {
+        apart.add(victim);
+        loop.after(lasts, () -> apart.remove(victim));
+      }
+      case 4, 5 -> blink(victim, 1 + random.nextInt(2));
+      case 6 -> {
+        for (int i = 0; i < controllerCount; i++) {
+          blink(i, 1);
+        }
+      }
+      case 7 -> processes.get(victim).freeze(lasts);
+      default -> {
+        outage = true;
+        loop.after(lasts.dividedBy(3), () -> outage = false);
+      }
+    }
+  }
+
+  /** It ends and is back within a fraction of a second, so many times in a row. */
+  private void blink(int index, int times) {
+    if (!controllers.containsKey(index)) {
+      return;
+    }
+    kill(index);
+    loop.after(
+        Duration.ofMillis(30 + random.nextInt(900)),
+        () -> {
+          try {
+            boot(index);
+          } catch (Exception e) {
+            throw new IllegalStateException(e);
+          }
+          if (times > 1) {
+            loop.after(Duration.ofMillis(random.nextInt(1500)), () -> blink(index, times - 1));
+          }
+        });
+  }
+
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void drawnTroublesForgetNothing(long seed) throws Exception {
+    random = new Random(seed);
+    running(3 + random.nextInt(4), 10 + random.nextInt(20), 60);
+    for (int left = 3 + random.nextInt(4); left > 0; left--) {
+      strike();
+      loop.runFor(Duration.ofMillis(random.nextInt(15_000)));
+      check();
+      work(20);
+    }
+    loop.runFor(Duration.ofSeconds(51)); // The longest of them is over by then.
+    copies = 0;
+    unhearing.clear();
+    apart.clear();
+    outage = false;
+    allIsWell("seed " + seed);
+  }
+}
--- a/src/test/java/io/tansystack/sim/SimCluster.java
+++ b/src/test/java/io/tansystack/sim/SimCluster.java
@@ -69,6 +69,15 @@
   /** Workers that no controller hears. */
   final Set<String> unheard = new HashSet<>();
 
+  /** Workers whose reports arrive, while neither answers nor commands reach them. */
+  final Set<String> unhearing = new HashSet<>();
+
+  /** How often a copy of a report comes once more, seconds to minutes later, at any controller. */
+  double copies;
+
+  /** Controllers that have lost the state service and the other controllers, but not users and workers. */
+  final Set<Integer> apart = new HashSet<>();
+
   /** For how long transactions that delete a machine's record are held up on their way. */
   Duration deletionsLate = Duration.ZERO;
 
@@ -163,6 +172,8 @@
       }
       if (silent.contains(index)
           || (silent.contains(peer) && !to.equals(CLOUD))
+          || (apart.contains(index) && (to.equals(STORE) || peer >= 0))
+          || (apart.contains(peer) && !to.equals(CLOUD))
           || (index == deafTo && to.getPort() >= 9000)) {
         return;
       }
@@ -203,7 +214,9 @@
       cloud(path, decode(body), reply);
     } else if (to.getPort() >= 9000) {
       for (StandInWorker worker : workers.values()) {
-        if (worker.address.endsWith(":" + to.getPort()) && !worker.dead) {
+        if (worker.address.endsWith(":" + to.getPort())
+            && !worker.dead
+            && !unhearing.contains(worker.name)) {
           int status = worker.orders(decode(body));
           check();
           back.accept(status, Cbor.encode(worker.report().write()));
@@ -312,8 +325,11 @@
     }
     boolean lost = random.nextDouble() < trouble;
     byte[] body = Cbor.encode(worker.report().write());
+    if (copies > 0 && random.nextDouble() < copies) {
+      copyLater(body);
+    }
     Reply reply = (status, bytes, r) -> {
-      if (over[0] || lost || worker.dead) {
+      if (over[0] || lost || worker.dead || unhearing.contains(worker.name)) {
         return;
       }
       over[0] = true;
@@ -330,6 +346,19 @@
     processes.get(worker.target).run(() -> controller.front("POST", "/v1/report", body, reply));
   }
 
+  /** From seconds to well over a lease later, and whoever answers, nobody hears it. */
+  private void copyLater(byte[] body) {
+    loop.after(
+        Duration.ofMillis(2000 + random.nextInt(70_000)),
+        () -> {
+          int to = random.nextInt(controllerCount);
+          Controller controller = controllers.get(to);
+          if (controller != null && !silent.contains(to)) {
+            processes.get(to).run(() -> controller.front("POST", "/v1/report", body, (s, b, r) -> {}));
+          }
+        });
+  }
+
   /**
    * The seeds that a test plays: a few, or those that the property {@code tansystack.seeds} names as
    * {@code FROM-TO}, for many to be played once.
