Rounds of several jobs, one planner on a large fleet, larger rounds, begun machines filled first

- RoundWriter writes several jobs a transaction; a team's record once for all of them.
Those whose transaction failed go alone the next time.
- Progress that places and ends nothing uses at most 15% of the write limit.
- Who plans follows from the machines recorded, not from the count of controllers alone.
- Of predictions that differ by less than a tenth of the run, a task takes a begun machine before one that a larger task needs whole.

--- a/src/main/java/io/tansystack/cluster/SlotDuty.java
+++ b/src/main/java/io/tansystack/cluster/SlotDuty.java
@@ -191,7 +191,15 @@
                 live.put(controller, record);
               }
             });
-    return Planners.choose(live, size);
+    return Planners.choose(live, size, world.machines().size(), gathered());
+  }
+
+  private boolean gathered() {
+    Set<String> holders = new HashSet<>();
+    for (int slot = 0; slot < World.SLOTS; slot++) {
+      holders.add(world.slot(slot) == null ? "" : world.slot(slot).label());
+    }
+    return holders.size() == 1;
   }
 
   /**
--- a/src/main/java/io/tansystack/jobs/JobDuty.java
+++ b/src/main/java/io/tansystack/jobs/JobDuty.java
@@ -159,8 +159,7 @@
     if (planned) {
       snapshot = book.snapshot(booting.get());
       plan =
-          Planner.plan(
-              snapshot, limit.window(), limit.placedAtOnce(), settings.store().txnOps() * 2);
+Planner.plan(snapshot, limit, settings.store().txnOps() * 2);
       Duration again = writer.write(plan);
       if (again != null) {
         Duration gap = gap(REST);
--- a/src/main/java/io/tansystack/jobs/RoundWriter.java
+++ b/src/main/java/io/tansystack/jobs/RoundWriter.java
@@ -34,8 +34,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Writes what a pass has decided for this controller's slots: one transaction a job, most urgent first,
- * as the write limit allows.
+ * Writes what a pass has decided for this controller's slots, most urgent first, as the write limit
+ * allows: several jobs a transaction, since placements of a team with a limit share one write of its
+ * record, and each such transaction waits for the one before.
  */
 final class RoundWriter {
   private static final Logger log = LoggerFactory.getLogger(RoundWriter.class);
@@ -43,7 +44,23 @@
   /** What is to be tried again soon is tried after this. */
   static final Duration SOON = Duration.ofMillis(40);
 
-  private record Candidate(Job job, JobRecord next, Proofs proofs, boolean places, boolean ends) {}
+  /** By then the copy shows a team's record as it was written. */
+  private static final Duration TEAM_SHOWN = Duration.ofMillis(60);
+
+  /** Progress of arrays that places nothing and ends nothing may use so much of the write limit. */
+  private static final double PROGRESS_SHARE = 0.15;
+
+  /** What has ended stays in workers' reports until its progress is written, so it is before this. */
+  private static final Duration LONGEST_PROGRESS_GAP = Duration.ofSeconds(10);
+
+  /** Of the 64 KiB that a transaction may have; the rest is for its conditions. */
+  private static final int MAX_BYTES = 56 << 10;
+
+  private record Candidate(Job job, JobRecord next, Proofs proofs, boolean places, boolean ends) {
+    JobSpec spec() {
+      return job.record().spec();
+    }
+  }
 
   private final Loop loop;
   private final StoreClient store;
@@ -54,7 +71,13 @@
   private final RecordLimit limit;
   private final int maxConditions;
   private final Runnable wake;
+  private final int maxWrites;
+  private final double writesPerSecond;
   private final Map<String, Duration> lastWrite = new HashMap<>();
+
+  /** Jobs whose last transaction failed: a reason of their own must not keep those with them from theirs. */
+  private final Set<String> alone = new HashSet<>();
+
   private final Set<String> teamsInFlight = new HashSet<>();
   private final Duration arrayGap;
   private Plan plan;
@@ -78,15 +101,18 @@
     this.book = book;
     this.limit = limit;
     this.maxConditions = settings.store().txnOps() * 4;
+    this.maxWrites = settings.store().txnOps();
+    this.writesPerSecond = settings.store().writeRps();
     this.wake = wake;
     // Several arrays run at a time: each may use a part of the write limit only.
-    this.arrayGap = Duration.ofMillis((long) (20_000 / settings.store().writeRps()));
+    this.arrayGap = Duration.ofMillis((long) (20_000 / writesPerSecond));
   }
 
   /** Writes the plan's rounds; tells after how long what was left is due, or null if nothing was. */
   Duration write(Plan next) {
     plan = next;
     lastWrite.keySet().retainAll(book.effective().keySet());
+    alone.retainAll(book.effective().keySet());
     return write(candidates());
   }
 
@@ -158,74 +184,183 @@
 
   private Duration write(List<Candidate> candidates) {
     Duration now = loop.now();
+    Duration progressGap = progressGap();
     Duration again = null;
+    Round round = new Round();
     for (Candidate c : candidates) {
-      JobSpec spec = c.job.record().spec();
       Duration last = lastWrite.get(c.job.id());
-      if (spec.shape() == Shape.ARRAY && !c.ends && last != null) {
-        Duration due = last.plus(c.places ? arrayGap : arrayGap.multipliedBy(2)).minus(now);
+      if (c.spec().shape() == Shape.ARRAY && !c.ends && last != null) {
+        Duration due = last.plus(c.places ? arrayGap : progressGap).minus(now);
         if (!due.isNegative()) {
           again = again == null || due.compareTo(again) < 0 ? due : again;
           continue;
         }
       }
-      Team team = book.team(spec.team());
-      boolean limited =
-          c.places
-              && team != null
-              && ((team.cpusMax() > 0 && spec.cpus() > 0)
-                  || (team.gpusMax() > 0 && spec.gpus() > 0));
-      if (limited && teamsInFlight.contains(spec.team())) {
+      if (limited(c) && teamsInFlight.contains(c.spec().team())) {
         again = SOON;
         continue;
       }
-      ObjectNode value = c.next.write();
-      if (!store.reserve(limited ? 2 : 1)) {
-        again = SOON;
-        break;
+      boolean single = alone.contains(c.job.id());
+      List<Condition> needed = conditions(c);
+      if (needed.size() > maxConditions) {
+        log.error("job={} needs {} conditions, more than allowed", c.job.id(), needed.size());
+        continue;
+      }
+      if (!round.isEmpty() && (single || !round.takes(c, needed))) {
+        round.send();
+        round = new Round();
+      }
+      if (round.isEmpty() && store.spare() < (limited(c) ? 2 : 1)) {
+        return SOON;
+      }
+      round.add(c, needed);
+      if (single) {
+        round.send();
+        round = new Round();
       }
-      commit(c, value, limited);
     }
+    round.send();
     return again;
   }
 
   /**
-   * The write holds only if the slot is still ours, the record is as it was planned on, every machine
-   * chosen still has the owner and token that were seen, and, for teams with a limit, if nobody else
-   * has placed anything for the team since: its record is rewritten with every placement.
+   * All arrays together may write their progress so often. What has ended makes room and is planned with
+   * at once, written or not.
    */
-  private void commit(Candidate c, ObjectNode value, boolean limited) {
-    JobSpec spec = c.job.record().spec();
-    String id = c.job.id();
-    List<Condition> conditions = new ArrayList<>();
-    conditions.add(new Condition(World.slotKey(c.job.slot()), world.slot(c.job.slot()).version()));
-    conditions.addAll(c.job.unchanged());
-    Set<String> named = new HashSet<>();
+  private Duration progressGap() {
+    long arrays =
+        book.effective().values().stream()
+            .filter(r -> r.active() && r.spec().shape() == Shape.ARRAY && !r.placements().isEmpty())
+            .count();
+    Duration gap = Duration.ofMillis((long) (arrays * 1000 / (writesPerSecond * PROGRESS_SHARE)));
+    Duration shortest = arrayGap.multipliedBy(2);
+    gap = gap.compareTo(shortest) < 0 ? shortest : gap;
+    return gap.compareTo(LONGEST_PROGRESS_GAP) < 0 ? gap : LONGEST_PROGRESS_GAP;
+  }
+
+  /** Whether it places something for a team that has a limit. */
+  private boolean limited(Candidate c) {
+    JobSpec spec = c.spec();
+    Team team = book.team(spec.team());
+    return c.places
+        && team != null
+        && ((team.cpusMax() > 0 && spec.cpus() > 0) || (team.gpusMax() > 0 && spec.gpus() > 0));
+  }
+
+  private List<Condition> conditions(Candidate c) {
+    List<Condition> needed = new ArrayList<>();
+    int slot = c.job.slot();
+    needed.add(new Condition(World.slotKey(slot), world.slot(slot).version()));
+    needed.addAll(c.job.unchanged());
+    Set<String> machines = new HashSet<>();
     if (c.places) {
-      for (JobRecord.Assignment part : plan.placements().get(id)) {
-        if (named.add(World.machineKey(part.machine()))) {
-          conditions.add(world.machine(part.machine()).condition());
+      for (JobRecord.Assignment part : plan.placements().get(c.job.id())) {
+        if (machines.add(World.machineKey(part.machine()))) {
+          needed.add(world.machine(part.machine()).condition());
         }
       }
     }
-    addProofConditions(c.proofs, named, conditions);
-    List<Write> writes = new ArrayList<>();
-    writes.add(new Write(World.jobKey(id), value, 0));
-    if (limited) {
-      conditions.add(new Condition(World.teamKey(spec.team()), world.teamVersion(spec.team())));
-      writes.add(
-          new Write(
-              World.teamKey(spec.team()),
-              Cbor.map().put("job", id),
-              0));
-      teamsInFlight.add(spec.team());
+    addProofConditions(c.proofs, machines, needed);
+    if (limited(c)) {
+      String team = c.spec().team();
+      needed.add(new Condition(World.teamKey(team), world.teamVersion(team)));
     }
-    if (conditions.size() > maxConditions) {
-      log.error("job={} needs {} conditions, more than allowed", id, conditions.size());
-      return;
+    return needed;
+  }
+
+  /**
+   * A transaction. It holds only if the slots are still ours, the records are as they were planned on,
+   * every machine chosen still has the owner and token that were seen, and, for teams with a limit, if
+   * nobody else has placed anything for the team since: its record is rewritten with every placement.
+   */
+  private final class Round {
+    private final List<Candidate> parts = new ArrayList<>();
+    private final Set<String> named = new HashSet<>();
+    private final List<Condition> conditions = new ArrayList<>();
+    private final Set<String> teams = new HashSet<>();
+    private final int room = store.spare();
+    private int bytes;
+
+    boolean isEmpty() {
+      return parts.isEmpty();
     }
-    lastWrite.put(id, loop.now());
-    book.writing(c.job, c.next);
+
+    /** Whether there is room for one more. */
+    boolean takes(Candidate c, List<Condition> needed) {
+      int writes = parts.size() + teams.size() + 1;
+      writes += limited(c) && !teams.contains(c.spec().team()) ? 1 : 0;
+      long more = needed.stream().filter(k -> !named.contains(k.key())).count();
+      return writes <= Math.min(room, maxWrites)
+          && conditions.size() + more <= maxConditions
+          && bytes + limit.longest(c.next) <= MAX_BYTES;
+    }
+
+    void add(Candidate c, List<Condition> needed) {
+      parts.add(c);
+      bytes += limit.longest(c.next);
+      for (Condition condition : needed) {
+        if (named.add(condition.key())) {
+          conditions.add(condition);
+        }
+      }
+      if (limited(c)) {
+        teams.add(c.spec().team());
+      }
+    }
+
+    void send() {
+      if (parts.isEmpty()) {
+        return;
+      }
+      List<Write> writes = new ArrayList<>();
+      for (Candidate c : parts) {
+        String id = c.job.id();
+        writes.add(new Write(World.jobKey(id), c.next.write(), 0));
+        lastWrite.put(id, loop.now());
+        book.writing(c.job, c.next);
+        report(c);
+      }
+      for (String team : teams) {
+        String last = parts.get(parts.size() - 1).job.id();
+        writes.add(new Write(World.teamKey(team), Cbor.map().put("job", last), 0));
+      }
+      teamsInFlight.addAll(teams);
+      store.reserve(writes.size());
+      store.commitReserved(conditions, writes, this::sent);
+    }
+
+    private void sent(Result result, long revision) {
+      if (result != Result.DONE) {
+        teamsInFlight.removeAll(teams);
+        if (result == Result.CONFLICT || result == Result.MALFORMED) {
+          parts.forEach(c -> alone.add(c.job.id()));
+        }
+        log.debug("write of {} jobs result={}", parts.size(), result);
+        // After silence the write may still come; a pause lets the copy show it first.
+        loop.after(
+            result == Result.UNKNOWN ? Duration.ofMillis(500) : Duration.ofMillis(30),
+            () -> {
+              parts.forEach(c -> book.dropped(c.job.id()));
+              wake.run();
+            });
+        return;
+      }
+      for (Candidate c : parts) {
+        alone.remove(c.job.id());
+        book.written(c.job.id(), revision);
+        if (c.ends) {
+          log.info("over job={} phase={}", c.job.id(), c.next.phase());
+        }
+      }
+      if (!teams.isEmpty()) {
+        loop.after(TEAM_SHOWN, () -> teamsInFlight.removeAll(teams));
+      }
+      wake.run();
+    }
+  }
+
+  private void report(Candidate c) {
+    String id = c.job.id();
     for (Plan.Stop stop : plan.stops().getOrDefault(id, List.of())) {
       log.info(
           "preempt job={} tasks={} machine={} for={}",
@@ -239,32 +374,6 @@
           .map(a -> a.machine() + "=" + a.tasks())
           .toList());
     }
-    store.commitReserved(
-        conditions,
-        writes,
-        (result, revision) -> {
-          if (result == Result.DONE) {
-            book.written(id, revision);
-            if (c.ends) {
-              log.info("over job={} phase={}", id, c.next.phase());
-            }
-            loop.after(
-                limited ? Duration.ofMillis(60) : Duration.ZERO,
-                () -> teamsInFlight.remove(spec.team()));
-          } else {
-            log.debug("write of job={} result={}", id, result);
-            teamsInFlight.remove(spec.team());
-            // After silence the write may still come; a pause lets the copy show it first.
-            loop.after(
-                result == Result.UNKNOWN ? Duration.ofMillis(500) : Duration.ofMillis(30),
-                () -> {
-                  book.dropped(id);
-                  wake.run();
-                });
-            return;
-          }
-          wake.run();
-        });
   }
 
   /** The conditions under which the proofs hold, but for those on keys named already. */
--- a/src/main/java/io/tansystack/jobs/Submissions.java
+++ b/src/main/java/io/tansystack/jobs/Submissions.java
@@ -150,7 +150,7 @@
       most = Math.max(most, spec.allowsType(type.name()) ? type.capacityFor(spec) : 0);
     }
     int machines = (spec.tasks() + most - 1) / most;
-    int held = limit.placedAtOnce();
+    int held = limit.placedAtOnce(spec);
     if (spec.shape() == Shape.GANG) {
       held = Math.min(held, settings.store().txnOps() * 2);
     }
--- a/src/main/java/io/tansystack/records/RecordLimit.java
+++ b/src/main/java/io/tansystack/records/RecordLimit.java
@@ -12,10 +12,11 @@
  * @param valueBytes the state service's limit, measured in JSON
  */
 public record RecordLimit(int valueBytes) {
-  /** A number within the window has at most five digits and a comma. */
-  private static final int TASK_CHARS = 6;
+  /** Session, attempt, a last word, and what stands between, of each placement. */
+  private static final int PLACEMENT_CHARS = 28;
 
-  private static final int PLACEMENT_CHARS = 70;
+  /** A machine's name is seldom longer; where it is, the record holds fewer placements. */
+  private static final int NAME_CHARS = 16;
 
   /** An array's tasks are placed inside a moving window, so that its done set stays nearly a prefix. */
   public int window() {
@@ -27,13 +28,19 @@
     return valueBytes / 8;
   }
 
-  private int placements() {
-    return (valueBytes - description() - window() * TASK_CHARS) / PLACEMENT_CHARS;
+  /** What the numbers of the job's tasks may take up, each with a comma: small jobs have short ones. */
+  private int numbers(JobSpec spec) {
+    int digits = Integer.toString(spec.tasks() - 1).length();
+    return Math.min(window(), spec.tasks()) * (digits + 1);
   }
 
-  /** So many placements may a round leave behind; the rest is for those that stops split in two. */
-  public int placedAtOnce() {
-    return placements() * 3 / 4;
+  private int placements(JobSpec spec) {
+    return (valueBytes - description() - numbers(spec)) / (PLACEMENT_CHARS + NAME_CHARS);
+  }
+
+  /** So many placements may a round of the job leave behind; the rest is for those that stops split in two. */
+  public int placedAtOnce(JobSpec spec) {
+    return placements(spec) * 3 / 4;
   }
 
   public boolean accepts(JobSpec spec) {
@@ -41,6 +48,18 @@
   }
 
   public boolean allows(JobRecord record) {
-    return record.placements().size() <= placements();
+    return longest(record) <= valueBytes;
+  }
+
+  /** The record is no longer than this, whatever ends first of what is placed. */
+  public int longest(JobRecord record) {
+    int length = description();
+    if (record.spec() != null) {
+      length += numbers(record.spec());
+      for (Placement placement : record.placements()) {
+        length += placement.machine().length() + PLACEMENT_CHARS;
+      }
+    }
+    return length;
   }
 }
--- a/src/main/java/io/tansystack/schedule/AcceleratorKeep.java
+++ b/src/main/java/io/tansystack/schedule/AcceleratorKeep.java
@@ -79,6 +79,17 @@
     return shapes.isEmpty();
   }
 
+  /** Tasks that ask for more accelerators than this one, one of each kind. */
+  List<JobSpec> larger(JobSpec spec) {
+    List<JobSpec> larger = new ArrayList<>();
+    for (JobSpec shape : shapes.values()) {
+      if (spec.gpus() > 0 && shape.gpus() > spec.gpus()) {
+        larger.add(shape);
+      }
+    }
+    return larger;
+  }
+
   /** Another job is looked at: what fits where may have changed. */
   void nextJob() {
     places.clear();
--- a/src/main/java/io/tansystack/schedule/Candidates.java
+++ b/src/main/java/io/tansystack/schedule/Candidates.java
@@ -9,13 +9,23 @@
 
 /** The machines that come into question for a job, in the order of predicted delivery, within one pass. */
 final class Candidates {
-  private record Scored(Room room, int tier, double delivery, double slack)
+  /**
+   * Predictions that differ by less than this part of the run time are nearly equal: machines of a type
+   * differ by as much, and owners' estimates by more.
+   */
+  private static final double NEAR = 0.1;
+
+  /** {@code step} stands for predictions that count as equal. */
+  private record Scored(
+      Room room, int tier, double step, boolean breaks, double slack, double delivery)
       implements Comparable<Scored> {
     @Override
     public int compareTo(Scored o) {
       int order = Integer.compare(tier, o.tier);
-      order = order != 0 ? order : Double.compare(delivery, o.delivery);
+      order = order != 0 ? order : Double.compare(step, o.step);
+      order = order != 0 ? order : Boolean.compare(breaks, o.breaks);
       order = order != 0 ? order : Double.compare(slack, o.slack);
+      order = order != 0 ? order : Double.compare(delivery, o.delivery);
       return order != 0 ? order : room.machine.name().compareTo(o.room.machine.name());
     }
   }
@@ -42,7 +52,8 @@
   /**
    * Fitting machines, best first. Machines with accelerators come after the others for tasks that
    * need none, unless what they take leaves the accelerators usable: otherwise the cheap tasks would
-   * keep gangs from their only machines. Equal predictions are decided towards fuller machines.
+   * keep gangs from their only machines. Equal predictions are decided towards fuller machines; nearly
+   * equal ones too, where the task would break a machine that a larger one needs whole.
    */
   List<Room> of(JobState job) {
     JobSpec spec = job.record().spec();
@@ -53,6 +64,7 @@
       }
     }
     keep.nextJob();
+    List<JobSpec> larger = keep.larger(spec);
     List<Scored> scored = new ArrayList<>();
     boolean full = job.avoid().isEmpty();
     for (Room room : rooms) {
@@ -60,17 +72,50 @@
         full = false; // Room that is kept for others may be theirs who ask for more.
         boolean spoils = keep.spoils(spec, room);
         if (!spoils || !keep.keptForOthers(room)) {
+          double delivery = room.delivery(spec);
           scored.add(
-              new Scored(room, spoils ? 1 : 0, room.delivery(spec), room.cpus - spec.cpus()));
+              new Scored(
+                  room, spoils ? 1 : 0, delivery, false, room.cpus - spec.cpus(), delivery));
         }
       }
     }
     if (full) {
       fullFor.add(ask);
     }
+    if (!larger.isEmpty()) {
+      keepWhole(scored, spec, larger);
+    }
     scored.sort(null);
     List<Room> result = new ArrayList<>(scored.size());
     scored.forEach(s -> result.add(s.room()));
     return result;
   }
+
+  /** Of those nearly as good as the best left, machines that are begun come before whole ones. */
+  private static void keepWhole(List<Scored> scored, JobSpec spec, List<JobSpec> larger) {
+    double near = Math.max(0.5, spec.estimateS() * NEAR);
+    double best = scored.stream().mapToDouble(Scored::delivery).min().orElse(0);
+    scored.replaceAll(
+        s ->
+            new Scored(
+                s.room,
+                s.tier,
+                Math.floor((s.delivery - best) / near),
+                breaks(spec, s.room, larger),
+                s.room.gpus - spec.gpus(),
+                s.delivery));
+  }
+
+  /** Whether the task takes the place of a larger one. */
+  private static boolean breaks(JobSpec spec, Room room, List<JobSpec> larger) {
+    for (JobSpec shape : larger) {
+      if (shape.allowsType(room.machine.type().name())
+          && room.fits(shape)
+              > Room.count(
+                  shape, room.cpus - spec.cpus(), room.gpus - spec.gpus(), room.mem - spec.memGb())) {
+        return true;
+      }
+    }
+    return false;
+  }
 }
--- a/src/main/java/io/tansystack/schedule/Planner.java
+++ b/src/main/java/io/tansystack/schedule/Planner.java
@@ -3,6 +3,7 @@
 import io.tansystack.records.JobRecord.Assignment;
 import io.tansystack.records.JobRecord;
 import io.tansystack.records.Placement;
+import io.tansystack.records.RecordLimit;
 import io.tansystack.records.TaskSet;
 import io.tansystack.schedule.Plan.Unmet;
 import io.tansystack.schedule.Room.Held;
@@ -29,11 +30,8 @@
  * fast the machine is), and its tasks go to the best. A pure function of the snapshot.
  */
 public final class Planner {
-  /** A job's tasks are placed inside a moving window, so that its done set stays nearly a prefix. */
-  private final int window;
-
   /** Bounds the size of a job's record. */
-  private final int maxPlacements;
+  private final RecordLimit limit;
 
   /** Each machine chosen is a condition of the transaction that records the round. */
   private final int maxMachines;
@@ -52,10 +50,9 @@
   /** For what no room could be made in this pass, by priority: nor can it for what asks for more. */
   private final Map<Priority, List<Ask>> notMadeFor = new EnumMap<>(Priority.class);
 
-  private Planner(Snapshot snapshot, int window, int maxPlacements, int maxMachines) {
+  private Planner(Snapshot snapshot, RecordLimit limit, int maxMachines) {
     this.snapshot = snapshot;
-    this.window = window;
-    this.maxPlacements = maxPlacements;
+    this.limit = limit;
     this.maxMachines = maxMachines;
     for (MachineState machine : snapshot.machines()) {
       rooms.put(machine.name(), new Room(machine));
@@ -66,9 +63,8 @@
     this.preemption = new Preemption(teams, plan);
   }
 
-  public static Plan plan(
-      Snapshot snapshot, int window, int maxPlacements, int maxMachines) {
-    return new Planner(snapshot, window, maxPlacements, maxMachines).run();
+  public static Plan plan(Snapshot snapshot, RecordLimit limit, int maxMachines) {
+    return new Planner(snapshot, limit, maxMachines).run();
   }
 
   private Plan run() {
@@ -152,7 +148,7 @@
     }
     BitSet unplaced = record.unplaced().toBits();
     if (spec.shape() == Shape.ARRAY) {
-      int end = record.done().firstMissing() + window;
+      int end = record.done().firstMissing() + limit.window();
       unplaced.clear(end, Math.max(end, unplaced.length()));
     }
     int wanted = unplaced.cardinality();
@@ -211,7 +207,7 @@
       return chosen;
     }
     Object2IntOpenHashMap<String> zones = zones(job.record(), rooms);
-    int most = Math.min(maxMachines, maxPlacements - job.record().placements().size());
+    int most = Math.min(maxMachines, limit.placedAtOnce(spec) - job.record().placements().size());
     int i = 0;
     if (!byZone(spec)) {
       for (Room room : found) {
@@ -304,7 +300,7 @@
       }
     }
     Map<String, BitSet> chosen = new LinkedHashMap<>();
-    if (best != null && new HashSet<>(best).size() <= Math.min(maxMachines, maxPlacements)) {
+    if (best != null && new HashSet<>(best).size() <= Math.min(maxMachines, limit.placedAtOnce(spec))) {
       for (int i = 0; i < best.size(); i++) {
         assign(chosen, best.get(i), spec, tasks[i]);
       }
--- a/src/main/java/io/tansystack/store/RateBudget.java
+++ b/src/main/java/io/tansystack/store/RateBudget.java
@@ -47,6 +47,11 @@
     return true;
   }
 
+  /** How many could be taken now by who is not urgent, with nothing owed afterwards. */
+  public int spare(Duration now) {
+    return Math.max(0, (int) (available(now) - reserve));
+  }
+
   /** How many could be taken now by who is urgent. */
   public int available(Duration now) {
     refill(now);
--- a/src/main/java/io/tansystack/store/StoreClient.java
+++ b/src/main/java/io/tansystack/store/StoreClient.java
@@ -32,6 +32,8 @@
     CONFLICT,
     /** Not executed: refused, or an outage. */
     REFUSED,
+    /** Not executed, and never will be: the service can't take it as it is. */
+    MALFORMED,
     /** Not executed: over the service's limits just now. */
     BUSY,
     /** The lease of a write has ended. */
@@ -166,6 +168,11 @@
     return urgent.isEmpty() && budget.take(writes, false, loop.now());
   }
 
+  /** How many writes of ordinary transactions may be sent now. */
+  public int spare() {
+    return urgent.isEmpty() ? budget.spare(loop.now()) : 0;
+  }
+
   /** As {@link #reserve}, where at least as much is left over: for what can wait for ever. */
   public boolean reserveSpare(int writes) {
     return budget.available(loop.now()) >= 2 * writes && reserve(writes);
@@ -198,7 +205,7 @@
                 then.done(Result.NO_LEASE, 0);
               } else {
                 log.error("state service refused a transaction as malformed: {}", map);
-                then.done(Result.REFUSED, 0);
+                then.done(Result.MALFORMED, 0);
               }
             }
             case 429 -> {
--- a/src/main/java/io/tansystack/workers/Departures.java
+++ b/src/main/java/io/tansystack/workers/Departures.java
@@ -74,7 +74,8 @@
         Duration.ofSeconds(2),
         (result, revision) -> {
           machine.claiming = false;
-          if (result == Result.CONFLICT || (result == Result.REFUSED && !doubtful)) {
+          boolean refused = result == Result.REFUSED || result == Result.MALFORMED;
+          if (result == Result.CONFLICT || (refused && !doubtful)) {
             machine.goneVersion = -1; // It was not applied and won't be.
           }
           if (result == Result.DONE) {
--- a/src/test/java/io/tansystack/cluster/PlannersTest.java
+++ b/src/test/java/io/tansystack/cluster/PlannersTest.java
@@ -10,26 +10,37 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 class PlannersTest {
-  /** Each live controller is given as label, zone and version of its record. */
+  /**
+   * Each live controller is given as label, zone and version of its record; the fleet by how many machines
+   * there are and whether one controller holds all slots.
+   */
   @ParameterizedTest
   @CsvSource(
       delimiter = '|',
       textBlock =
           """
-          1 | c-0 a 5                                     | c-0
-          3 | c-0 a 5, c-1 a 6, c-2 b 7                   | c-0 c-1 c-2
-          3 | c-0 a 5, c-2 b 7                            | c-0 c-2
-          4 | c-0 a 5, c-1 a 6, c-2 a 7, c-3 b 9          | c-0
-          4 | c-0 b 9, c-1 a 6, c-2 a 7, c-3 a 8          | c-1
-          5 | c-0 a 40, c-1 a 8, c-2 b 7, c-3 a 8, c-4 b 9 | c-2
-          7 | c-1 a 8, c-2 b 7                            | c-2
+          1 | c-0 a 5                                     | 0 no     | c-0
+          3 | c-0 a 5, c-1 a 6, c-2 b 7                   | 0 no     | c-0 c-1 c-2
+          3 | c-0 a 5, c-2 b 7                            | 0 no     | c-0 c-2
+          4 | c-0 a 5, c-1 a 6, c-2 a 7, c-3 b 9          | 0 no     | c-0
+          4 | c-0 b 9, c-1 a 6, c-2 a 7, c-3 a 8          | 0 no     | c-1
+          5 | c-0 a 40, c-1 a 8, c-2 b 7, c-3 a 8, c-4 b 9 | 0 no     | c-2
+          7 | c-1 a 8, c-2 b 7                            | 0 no     | c-2
+          3 | c-0 a 9, c-1 a 6, c-2 b 7                   | 149 no   | c-1 c-2 c-0
+          3 | c-0 a 9, c-1 a 6, c-2 b 7                   | 150 no   | c-1
+          3 | c-0 a 9, c-1 a 6, c-2 b 7                   | 75 yes   | c-1
+          3 | c-0 a 9, c-1 a 6, c-2 b 7                   | 74 yes   | c-1 c-2 c-0
+          3 | c-0 a 9                                     | 2200 yes | c-0
           """)
-  void theOldestSoThatAReturnMovesNoWork(int size, String live, String expected) {
+  void theOldestSoThatAReturnMovesNoWork(int size, String live, String fleet, String expected) {
     Map<String, ControllerRecord> records = new TreeMap<>();
     for (String one : live.split(", ")) {
       String[] parts = one.trim().split(" ");
       records.put(parts[0], new ControllerRecord("boot", parts[1], Long.parseLong(parts[2])));
     }
-    assertEquals(List.of(expected.trim().split(" ")), Planners.choose(records, size));
+    String[] cluster = fleet.trim().split(" ");
+    assertEquals(
+        List.of(expected.trim().split(" ")),
+        Planners.choose(records, size, Integer.parseInt(cluster[0]), cluster[1].equals("yes")));
   }
 }
--- a/src/test/java/io/tansystack/records/JobRecordTest.java
+++ b/src/test/java/io/tansystack/records/JobRecordTest.java
@@ -133,7 +133,9 @@
    * every second one stopped, ends scattered. A record that can't be written would be stuck for ever.
    */
   @ParameterizedTest
-  @CsvSource({"16384,1200", "16384,100000", "32768,1200", "32768,100000"})
+  @CsvSource({
+    "8192,400", "8192,600", "8192,100000", "16384,1200", "16384,100000", "32768,1200", "32768,100000"
+  })
   void theLongestRecordFitsIntoOneValue(int valueBytes, int tasks) {
     RecordLimit limit = new RecordLimit(valueBytes);
     String longName = "x".repeat(limit.description() - 400);
@@ -148,7 +150,7 @@
     prefix.set(0, from);
     JobRecord record =
         new JobRecord(spec, Long.MAX_VALUE / 2, Phase.ACTIVE, TaskSet.of(prefix), 99_999, List.of());
-    int machines = limit.placedAtOnce();
+    int machines = limit.placedAtOnce(spec);
     List<Assignment> round = new ArrayList<>();
     for (int m = 0; m < machines; m++) {
       BitSet part = new BitSet();
--- a/src/test/java/io/tansystack/schedule/PlannerTest.java
+++ b/src/test/java/io/tansystack/schedule/PlannerTest.java
@@ -7,6 +7,7 @@
 
 import io.tansystack.records.JobRecord.Assignment;
 import io.tansystack.records.JobRecord;
+import io.tansystack.records.RecordLimit;
 import io.tansystack.records.TaskSet;
 import io.tansystack.schedule.Snapshot.JobState;
 import io.tansystack.schedule.Snapshot.MachineState;
@@ -72,7 +73,7 @@
   }
 
   private Plan plan() {
-    return Planner.plan(new Snapshot(machines, booting, jobs, teams), 100, 100, 30);
+    return Planner.plan(new Snapshot(machines, booting, jobs, teams), new RecordLimit(8192), 30);
   }
 
   private static int placed(Plan plan, String job, String machine) {
@@ -107,6 +108,26 @@
     assertEquals(1, placed(plan(), "wk-1", best));
   }
 
+  /**
+   * A task of one accelerator, a begun machine of the given slowness beside a whole one: with gangs about
+   * that need a whole machine, what is nearly as good does.
+   */
+  @ParameterizedTest
+  @CsvSource({"1,true,begun", "1.05,true,begun", "1.05,false,whole", "1.3,true,whole"})
+  void wholeMachinesAreKeptForThoseWhoNeedThem(double slowness, boolean gangs, String best) {
+    machine("begun", ACCEL, "a", Set.of("img"), 0, slowness);
+    machine("other", ACCEL, "a", Set.of("img"), 0, 1);
+    machine("whole", ACCEL, "a", Set.of("img"), 0, 1);
+    job(spec("wk-1", Shape.ARRAY, Priority.LOW, 1, 1, 1, false, false), 0,
+        new Assignment("begun", 1, TaskSet.range(0, 1)));
+    job(spec("wk-2", Shape.GANG, Priority.HIGH, 1, 8, gangs ? 4 : 1, false, false), 0,
+        new Assignment("other", 1, TaskSet.range(0, 1)));
+    job(spec("wk-3", Shape.ARRAY, Priority.LOW, 1, 0.5, 1, false, false), 1);
+    Plan plan = plan();
+    assertEquals(1, placed(plan, "wk-3"));
+    assertEquals(best.equals("begun"), placed(plan, "wk-3", "begun") == 1);
+  }
+
   @ParameterizedTest
   @CsvSource({"1,1", "2,2", "3,3", "4,3", "5,4"})
   void scatterKeepsHalfRoundedUpOutOfAZone(int tasks, int expected) {
