A round's end is no lack of room; arrays stand together; outcomes are put away in quiet

What a round could not name, 32 machines, counted as unmet: machines were rented and given back for it, and their claims, emptying and removal took the writes that the next round needed.

- What a round could not name waits for the next one.
- Arrays take as many whole machines as they fill, so that what ends together leaves them whole.
- Outcomes are put away when nothing else is written, or a thousand wait; progress uses 8% of writes.
- Idle machines go after 10 s once jobs, which came all the time, have stopped coming.

--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -242,9 +242,12 @@
   private void summarise() {
     loop.after(SUMMARY_EVERY, this::summarise);
     log.info(
-        "summary jobs={} machines={} owned={} valid={} plans={} stalls={} count/p50/p99/max{}",
+        "summary jobs={} machines={} idle={} closed={} unmet={} owned={} valid={} plans={} stalls={} count/p50/p99/max{}",
         world.jobs().size(),
         world.machines().size(),
+        world.machines().keySet().stream().filter(m -> world.placedOn(m).isEmpty()).count(),
+        jobs.lastSnapshot().machines().stream().filter(m -> !m.open()).count(),
+        jobs.lastPlan().unmet().size(),
         desk.owned().size(),
         lease.valid(),
         slots.plans(),
--- a/src/main/java/io/tansystack/cluster/Sweep.java
+++ b/src/main/java/io/tansystack/cluster/Sweep.java
@@ -26,6 +26,9 @@
   /** Outcomes are put away so many at once: fewer make more transactions, more a gap in placements. */
   private static final int AT_ONCE = 4;
 
+  /** Up to so many wait until nothing else is to be written: reading them costs a start little. */
+  private static final int MANY = 1000;
+
   private final Loop loop;
   private final StoreClient store;
   private final World world;
@@ -84,7 +87,9 @@
       writes.add(
           new Write(World.endedKey(id), JobRecord.outcome(outcome.getValue().phase()).write(), 0));
     }
-    if (conditions.size() == AT_ONCE && store.reserveSpare(writes.size())) {
+    boolean many = world.outcomes().size() > MANY;
+    if (conditions.size() == AT_ONCE
+        && (many ? store.reserveSpare(writes.size()) : store.reserveIdle(writes.size()))) {
       store.commitReserved(
           conditions,
           writes,
--- a/src/main/java/io/tansystack/fleet/Starts.java
+++ b/src/main/java/io/tansystack/fleet/Starts.java
@@ -21,6 +21,12 @@
   /** Boot times counted: one alone would see too few. */
   private static final int BOOTS = 3;
 
+  /** Jobs must have come for so long before their rate tells anything. */
+  private static final Duration LONG = Duration.ofMinutes(1);
+
+  /** Where so many were to be expected, it is no chance that none came. */
+  private static final int MANY = 12;
+
   private record Come(JobSpec spec, Duration at) {}
 
   private final Set<String> seen = new HashSet<>();
@@ -71,4 +77,15 @@
     }
     return machines / BOOTS;
   }
+
+  /** Whether jobs came all the time, and none has for a while in which many were to be expected. */
+  boolean haveEnded(Duration now) {
+    if (come.isEmpty()) {
+      return false;
+    }
+    Duration last = come.getLast().at;
+    Duration over = last.minus(come.getFirst().at);
+    double rate = come.size() / Math.max(1, over.toMillis() / 1000.0);
+    return over.compareTo(LONG) > 0 && rate * now.minus(last).toMillis() / 1000.0 > MANY;
+  }
 }
--- a/src/main/java/io/tansystack/fleet/Warmth.java
+++ b/src/main/java/io/tansystack/fleet/Warmth.java
@@ -27,6 +27,10 @@
 final class Warmth {
   private static final Duration SETTLE = Duration.ofSeconds(15);
   private static final double MAX_KEEP = 12;
+
+  /** Where jobs came all the time and come no more, idle machines go so many times sooner. */
+  private static final double NOTHING_COMES = 4;
+
   private static final Duration EXPECTED = Duration.ofSeconds(120);
   private static final Duration FOREVER = Duration.ofDays(10_000);
 
@@ -109,13 +113,16 @@
   private void judgeIdle(MachineType type, List<MachineRecord> machines, Duration now) {
     double factor = keepFactor(type, EXPECTED, now);
     double warm = type == null ? 0 : starts.machinesWhile(type, spec -> awaited(type, spec), now);
+    if (starts.haveEnded(now)) {
+      factor = 1.0 / NOTHING_COMES;
+    }
     machines.sort(
         Comparator.comparing((MachineRecord m) -> !m.spot())
             .thenComparing(m -> idleSince.get(m.name()), Comparator.reverseOrder()));
     for (int i = 0; i < machines.size(); i++) {
       Duration keep =
           Duration.ofMillis(
-              (long) (operator.idleReturn().toMillis() * (i < warm ? factor : 1)));
+              (long) (operator.idleReturn().toMillis() * (i < warm ? factor : Math.min(1, factor))));
       if (now.minus(idleSince.get(machines.get(i).name())).compareTo(keep) > 0) {
         returns.drain(machines.get(i), "idle");
       }
--- a/src/main/java/io/tansystack/jobs/ForeignProofs.java
+++ b/src/main/java/io/tansystack/jobs/ForeignProofs.java
@@ -28,7 +28,7 @@
    * A holder that acts has more proofs to write than the limit allows at times: after a fleet has lost
    * its leases, of every job at once. Help from all others only makes all their writes conflict.
    */
-  private static final Duration HOLDER_ACTS = Duration.ofSeconds(20);
+  private static final Duration HOLDER_ACTS = Duration.ofSeconds(30);
 
   private record Unabsorbed(long version, Duration since) {}
 
--- a/src/main/java/io/tansystack/jobs/RoundWriter.java
+++ b/src/main/java/io/tansystack/jobs/RoundWriter.java
@@ -39,10 +39,10 @@
   static final Duration SOON = Duration.ofMillis(40);
 
   /** Progress of arrays that places nothing and ends nothing may use so much of the write limit. */
-  private static final double PROGRESS_SHARE = 0.15;
+  private static final double PROGRESS_SHARE = 0.08;
 
   /** What has ended stays in workers' reports until its progress is written, so it is before this. */
-  private static final Duration LONGEST_PROGRESS_GAP = Duration.ofSeconds(10);
+  private static final Duration LONGEST_PROGRESS_GAP = Duration.ofSeconds(15);
 
   /** A round that adds less than this part of what an array has running is a small one, */
   private static final int LITTLE = 10;
--- a/src/main/java/io/tansystack/schedule/Candidates.java
+++ b/src/main/java/io/tansystack/schedule/Candidates.java
@@ -18,13 +18,13 @@
 
   /** {@code step} stands for predictions that count as equal. */
   private record Scored(
-      Room room, int tier, double step, boolean breaks, double price, double slack, double delivery)
+      Room room, int tier, double step, int rank, double price, double slack, double delivery)
       implements Comparable<Scored> {
     @Override
     public int compareTo(Scored o) {
       int order = Integer.compare(tier, o.tier);
       order = order != 0 ? order : Double.compare(step, o.step);
-      order = order != 0 ? order : Boolean.compare(breaks, o.breaks);
+      order = order != 0 ? order : Integer.compare(rank, o.rank);
       order = order != 0 ? order : Double.compare(price, o.price);
       order = order != 0 ? order : Double.compare(slack, o.slack);
       order = order != 0 ? order : Double.compare(delivery, o.delivery);
@@ -32,6 +32,15 @@
     }
   }
 
+  /** Whole machines that the tasks fill, machines that are begun, and other whole ones. */
+  private static final int FILLED = 0;
+
+  private static final int BEGUN = 1;
+  private static final int WHOLE = 2;
+
+  /** One machine in so many is left whole for larger tasks, while others will do. */
+  private static final int LEFT_WHOLE = 50;
+
   private final Collection<Room> rooms;
   private final AcceleratorKeep keep;
 
@@ -55,7 +64,7 @@
    * Fitting machines, best first. Machines with accelerators come after the others for tasks that
    * need none, unless what they take leaves the accelerators usable: otherwise the cheap tasks would
    * keep gangs from their only machines. Equal predictions are decided towards fuller machines; nearly
-   * equal ones too, where the task would break a machine that a larger one needs whole.
+   * equal ones by what they leave whole, where larger tasks need whole machines.
    */
   List<Room> of(JobState job) {
     return of(job, 0, 0);
@@ -85,7 +94,7 @@
           double delivery = room.delivery(spec);
           scored.add(
               new Scored(
-                  room, spoils ? 1 : 0, delivery, false, 0, room.cpus - spec.cpus(), delivery));
+                  room, spoils ? 1 : 0, delivery, 0, 0, room.cpus - spec.cpus(), delivery));
         }
       }
     }
@@ -93,14 +102,14 @@
       fullFor.add(ask);
     }
     if (!larger.isEmpty()) {
-      keepWhole(scored, spec, larger);
+      keepWhole(scored, spec, larger, tasks, rooms.size());
     }
     scored.sort(null);
     if (scored.size() > most && roomFor(spec, scored.subList(0, most)) < tasks) {
       scored.sort(
           Comparator.comparingInt(Scored::tier)
               .thenComparingDouble(Scored::step)
-              .thenComparing(Scored::breaks)
+              .thenComparingInt(Scored::rank)
               .thenComparing(s -> -s.room.fits(spec))
               .thenComparing(Comparator.naturalOrder()));
     }
@@ -118,10 +127,13 @@
   }
 
   /**
-   * Of those nearly as good as the best left, machines that are begun come before whole ones, cheap ones
-   * before dear ones, and full ones before those that may soon be empty and can be given back.
+   * Of those nearly as good as the best left, cheap ones come before dear ones. As many whole machines as
+   * the tasks fill come first: tasks that came together end together, and leave them whole again. What is
+   * left over goes to machines that are begun, full ones first. Some whole ones are left for the larger
+   * tasks that come next.
    */
-  private static void keepWhole(List<Scored> scored, JobSpec spec, List<JobSpec> larger) {
+  private static void keepWhole(
+      List<Scored> scored, JobSpec spec, List<JobSpec> larger, int tasks, int machines) {
     double near = Math.max(0.5, spec.estimateS() * NEAR);
     double best = scored.stream().mapToDouble(Scored::delivery).min().orElse(0);
     scored.replaceAll(
@@ -130,10 +142,27 @@
                 s.room,
                 s.tier,
                 Math.floor((s.delivery - best) / near),
-                breaks(spec, s.room, larger),
+                breaks(spec, s.room, larger) ? WHOLE : BEGUN,
                 price(s.room.machine),
                 s.room.gpus - spec.gpus(),
                 s.delivery));
+    scored.sort(null);
+    int spare = 0;
+    for (Scored s : scored) {
+      spare += s.rank == WHOLE ? 1 : 0;
+    }
+    spare -= 1 + machines / LEFT_WHOLE;
+    int left = tasks;
+    for (int i = 0; i < scored.size(); i++) {
+      Scored s = scored.get(i);
+      int fits = s.rank == WHOLE && spare > 0 ? s.room.fits(spec) : 0;
+      if (fits > 0 && left >= fits) {
+        left -= fits;
+        spare--;
+        scored.set(
+            i, new Scored(s.room, s.tier, s.step, FILLED, s.price, s.slack, s.delivery));
+      }
+    }
   }
 
   private static double price(MachineState machine) {
--- a/src/main/java/io/tansystack/schedule/Planner.java
+++ b/src/main/java/io/tansystack/schedule/Planner.java
@@ -178,7 +178,9 @@
       plan.placements().put(job.id(), round);
     }
     int left = tasks.length - placed;
-    if (left > 0 && !job.suspected()) {
+    // What a round could not name follows with the next one; no room is lacking for it.
+    boolean cut = spec.shape() != Shape.GANG && chosen.size() >= machinesAtOnce(job);
+    if (left > 0 && !job.suspected() && !cut) {
       int stillLeft = makeRoom(job, left);
       if (stillLeft > 0) {
         plan.unmet().add(new Unmet(job.id(), spec, stillLeft, teams.guaranteed(job.id())));
@@ -203,12 +205,21 @@
     return zones;
   }
 
+  private int placementsLeft(JobState job) {
+    int held = job.record().placements().size();
+    return Math.max(0, limit.placedAtOnce(job.record().spec()) - held);
+  }
+
+  /** A round of the job can name so many machines. */
+  private int machinesAtOnce(JobState job) {
+    return Math.min(maxMachines, placementsLeft(job));
+  }
+
   private Map<String, BitSet> placeEach(JobState job, int[] tasks) {
     JobSpec spec = job.record().spec();
     Map<String, BitSet> chosen = new LinkedHashMap<>();
-    int held = Math.max(0, limit.placedAtOnce(spec) - job.record().placements().size());
-    int most = Math.min(maxMachines, held);
-    List<Room> found = candidates.of(job, tasks.length, held);
+    int most = machinesAtOnce(job);
+    List<Room> found = candidates.of(job, tasks.length, placementsLeft(job));
     if (found.isEmpty()) {
       return chosen;
     }
--- a/src/main/java/io/tansystack/store/RateBudget.java
+++ b/src/main/java/io/tansystack/store/RateBudget.java
@@ -58,6 +58,11 @@
     return now.compareTo(blockedUntil) < 0 ? 0 : Math.max(0, (int) level);
   }
 
+  /** Whether next to nothing was taken lately. */
+  public boolean full(Duration now) {
+    return available(now) >= (int) (burst * 0.9);
+  }
+
   /** The service said 429: others are using its limit, so this controller pauses. */
   public void refused(Duration now, Duration pause) {
     refill(now);
--- a/src/main/java/io/tansystack/store/StoreClient.java
+++ b/src/main/java/io/tansystack/store/StoreClient.java
@@ -173,11 +173,16 @@
     return urgent.isEmpty() ? budget.spare(loop.now()) : 0;
   }
 
-  /** As {@link #reserve}, where at least as much is left over: for what can wait for ever. */
+  /** As {@link #reserve}, where at least as much is left over: for what can wait for long. */
   public boolean reserveSpare(int writes) {
     return budget.available(loop.now()) >= 2 * writes && reserve(writes);
   }
 
+  /** As {@link #reserve}, where nobody has written for a while: for what can wait for ever. */
+  public boolean reserveIdle(int writes) {
+    return budget.full(loop.now()) && reserve(writes);
+  }
+
   /** Sends a transaction whose share was reserved. */
   public void commitReserved(List<Condition> conditions, List<Write> writes, Committed then) {
     send(conditions, writes, then);
--- /dev/null
+++ b/src/test/java/io/tansystack/fleet/StartsTest.java
@@ -0,0 +1,55 @@
+package io.tansystack.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.tansystack.cluster.World.Job;
+import io.tansystack.records.JobRecord;
+import io.tansystack.wire.JobSpec;
+import io.tansystack.wire.MachineType;
+import io.tansystack.wire.Priority;
+import io.tansystack.wire.Shape;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class StartsTest {
+  private static final MachineType TYPE =
+      new MachineType("g", 16, 4, 64, 50, 0.5, 10, 3, 40, List.of("a"));
+
+  private static Job job(int i) {
+    JobSpec spec =
+        new JobSpec(
+            "wk-" + i, "c", "t", Shape.ARRAY, Priority.LOW, 8, 1, 1, 1, "img", 2, null, null, false,
+            false, false, 10, 0, 0, null);
+    return new Job(JobRecord.created(spec, 0), 1, 0);
+  }
+
+  /**
+   * A job of eight tasks, four to a machine, every so many seconds for so long, then quiet; the machine
+   * boots in 40 s. A negative count stands for "not known yet".
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "2, 60, 0, -1, false", "2, 200, 0, 40, false", "2, 200, 20, 33, false", "2, 200, 30, 30, true",
+    "20, 200, 30, 3, false", "20, 600, 250, 0, false", "2, 30, 60, -1, false"
+  })
+  void whatComesWhileAMachineBoots(int every, int last, int quiet, int machines, boolean ended) {
+    Starts starts = new Starts();
+    Map<String, Job> jobs = new TreeMap<>();
+    Duration start = Duration.ofSeconds(1000);
+    starts.startAnew(start);
+    for (int s = 0; s <= last + quiet; s++) {
+      if (s <= last && s % every == 0) {
+        jobs.put("wk-" + s, job(s));
+      }
+      starts.look(jobs, start.plusSeconds(s));
+    }
+    Duration now = start.plusSeconds(last + quiet);
+    double found = starts.machinesWhile(TYPE, spec -> true, now);
+    assertEquals(machines, found == Double.MAX_VALUE ? -1 : Math.round(found), 1);
+    assertEquals(ended, starts.haveEnded(now));
+  }
+}
--- a/src/test/java/io/tansystack/schedule/PlannerTest.java
+++ b/src/test/java/io/tansystack/schedule/PlannerTest.java
@@ -128,6 +128,25 @@
     assertEquals(best.equals("begun"), placed(plan, "wk-3", "begun") == 1);
   }
 
+  /** Four to a machine, beside gangs: what fills whole machines takes them, but for the last one. */
+  @ParameterizedTest
+  @CsvSource({"3,3,0", "4,0,4", "7,3,4", "11,3,8"})
+  void whatComesTogetherStandsTogether(int tasks, int onBegun, int onWhole) {
+    machine("begun", ACCEL, "a", Set.of("img"), 0, 1);
+    machine("gang", ACCEL, "a", Set.of("img"), 0, 1);
+    for (int i = 0; i < 3; i++) {
+      machine("whole" + i, ACCEL, "a", Set.of("img"), 0, 1);
+    }
+    job(spec("wk-1", Shape.ARRAY, Priority.LOW, 1, 1, 1, false, false), 0,
+        new Assignment("begun", 1, TaskSet.range(0, 1)));
+    job(spec("wk-2", Shape.GANG, Priority.HIGH, 1, 8, 4, false, false), 0,
+        new Assignment("gang", 1, TaskSet.range(0, 1)));
+    job(spec("wk-3", Shape.ARRAY, Priority.LOW, tasks, 1, 1, false, false), 1);
+    Plan plan = plan();
+    assertEquals(onBegun, placed(plan, "wk-3", "begun"));
+    assertEquals(onWhole, placed(plan, "wk-3") - onBegun);
+  }
+
   @ParameterizedTest
   @CsvSource({"1,1", "2,2", "3,3", "4,3", "5,4"})
   void scatterKeepsHalfRoundedUpOutOfAZone(int tasks, int expected) {
