--- a/src/test/java/io/tansystack/sim/SimCluster.java
+++ b/src/test/java/io/tansystack/sim/SimCluster.java
@@ -368,9 +368,13 @@
     return LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[1]));
   }
 
-  /** The rule that a task is never on two machines, at every moment at which one may start. */
+  /** That a task is never on two machines, nor a team over its limit, at every moment at which one may start. */
   void check() {
     Set<String> seen = new HashSet<>();
+    int running = workers.values().stream().mapToInt(worker -> worker.live().size()).sum();
+    if (settings.contains("cpus_max = 40.0") && running > 40) {
+      broken.add("quota: " + running + " tasks of one processor, 40 allowed");
+    }
     for (StandInWorker worker : workers.values()) {
       for (String task : worker.live()) {
         if (!seen.add(task)) {
