What has waited two minutes for a beginning begins before others of its standing

An array's handicap grows with its size (3,750 s for 25,000 tasks on a fleet of 8,000 processors), and a job that can't meet its deadline lets all others go first until five times the deadline: with more work than room neither begins. A job of which nothing was placed for 120 s now comes before others of its priority and standing; an array with one task, so that it costs the others next to nothing. Gangs hold what is free for them already.

--- a/src/main/java/io/tansystack/jobs/JobBook.java
+++ b/src/main/java/io/tansystack/jobs/JobBook.java
@@ -43,6 +43,9 @@
 final class JobBook {
   private static final Logger log = LoggerFactory.getLogger(JobBook.class);
 
+  /** A job that has not begun by then begins before others of its standing. */
+  private static final Duration DUE = Duration.ofSeconds(120);
+
   private record Pending(JobRecord record, long baseVersion, long revision) {}
 
   private final Loop loop;
@@ -289,7 +292,8 @@
               impatient,
               suspected,
               record.active() ? deadlines.missed(record, wallMs) : 0,
-              failures.avoid(id, now)));
+              failures.avoid(id, now),
+              record.untouched() && wallMs - record.submittedMs() >= DUE.toMillis()));
     }
     return new Snapshot(machines, booting, jobs, teams, coverage.coversAll());
   }
--- a/src/main/java/io/tansystack/schedule/Planner.java
+++ b/src/main/java/io/tansystack/schedule/Planner.java
@@ -163,7 +163,9 @@
     if (job.suspected() && spec.shape() != Shape.GANG) {
       allowed = record.placements().isEmpty() ? 1 : 0;
     }
-    int[] tasks = unplaced.stream().limit(Math.min(allowed, wanted)).toArray();
+    int most = Math.min(allowed, wanted);
+    boolean begins = job.due() && spec.shape() == Shape.ARRAY;
+    int[] tasks = unplaced.stream().limit(begins ? 1 : most).toArray();
     Map<String, BitSet> chosen =
         spec.shape() == Shape.GANG ? placeGang(job, tasks) : placeEach(job, tasks);
     int placed = 0;
@@ -180,8 +182,9 @@
     int left = tasks.length - placed;
     // What a round could not name follows with the next one; no room is lacking for it.
     boolean cut = spec.shape() != Shape.GANG && chosen.size() >= machinesAtOnce(job);
-    if (left > 0 && !job.suspected() && !cut) {
-      int stillLeft = makeRoom(job, left);
+    if (!job.suspected() && !cut) {
+      int stillLeft = left > 0 ? makeRoom(job, left) : 0;
+      stillLeft += most - tasks.length; // Its turn for the rest comes with the next pass.
       if (stillLeft > 0) {
         plan.unmet().add(new Unmet(job.id(), spec, stillLeft, teams.guaranteed(job.id())));
       }
--- a/src/main/java/io/tansystack/schedule/Snapshot.java
+++ b/src/main/java/io/tansystack/schedule/Snapshot.java
@@ -69,6 +69,8 @@
    *     there is room, and nothing is stopped, kept or rented for it
    * @param late how many of its deadline's aims it can't meet any more
    * @param avoid machines where it lately failed or was refused
+   * @param due whether it has waited for so long without a beginning that it is to begin before others
+   *     of its standing
    */
   public record JobState(
       String id,
@@ -77,5 +79,19 @@
       boolean impatient,
       boolean suspected,
       int late,
-      Set<String> avoid) {}
+      Set<String> avoid,
+      boolean due) {
+
+    /** One that has not waited for long. */
+    public JobState(
+        String id,
+        JobRecord record,
+        boolean waiting,
+        boolean impatient,
+        boolean suspected,
+        int late,
+        Set<String> avoid) {
+      this(id, record, waiting, impatient, suspected, late, avoid, false);
+    }
+  }
 }
--- a/src/main/java/io/tansystack/schedule/Turns.java
+++ b/src/main/java/io/tansystack/schedule/Turns.java
@@ -15,6 +15,10 @@
  * all, one huge array would otherwise keep everybody behind it waiting until nobody is in time; and
  * what waits for long still gets its turn, since arrivals go on and its handicap does not grow. Jobs
  * that can still be in time go before those that can't ({@link Deadlines}).
+ *
+ * <p>None of these may keep a job from beginning for ever: the largest array has the largest handicap, and
+ * a late job lets all others go first. One that has waited for long and has not begun is due, and comes
+ * before all others of its standing: an array with a single task, which is as much as a beginning needs.
  */
 final class Turns {
   private static final double PART = 0.05;
@@ -37,7 +41,8 @@
       turns.add(new Turn(job.record().submittedMs() + handicapMs(job), job));
     }
     turns.sort(
-        Comparator.comparingInt((Turn turn) -> turn.job.late())
+        Comparator.comparing((Turn turn) -> !turn.job.due())
+            .thenComparingInt(turn -> turn.job.late())
             .thenComparingDouble(Turn::at)
             .thenComparing(turn -> turn.job.id()));
     return turns.stream().map(Turn::job).toList();
