A machine that doesn't hear is closed at once, and is judged from the first sign on

Silence now counts from the first sign that it doesn't hear, while its owner's view says so at once and nothing new is placed there.

--- a/src/main/java/io/tansystack/jobs/JobBook.java
+++ b/src/main/java/io/tansystack/jobs/JobBook.java
@@ -338,6 +338,7 @@
             && view.token() == world.token(record)
             && view.report().token() > 0 // Else a late copy of a report may be all there is of it.
             && view.report().noticeS() == null
+            && !view.unhearing()
             && view.silentMs() < patience;
     return new MachineState(
         record.name(),
--- a/src/main/java/io/tansystack/workers/Orders.java
+++ b/src/main/java/io/tansystack/workers/Orders.java
@@ -170,7 +170,7 @@
             if (!refused) {
               // They may still be carried out at any later time: only a higher token stops that.
               machine.doubtfulToken = token;
-              machine.ignoredCommands();
+              machine.ignoredCommands(loop.now());
               log.info(
                   "no answer to {} commands machine={} token={}",
                   commands.size(),
--- a/src/main/java/io/tansystack/workers/OwnedMachine.java
+++ b/src/main/java/io/tansystack/workers/OwnedMachine.java
@@ -41,12 +41,12 @@
   /** Receipt of the last report that was answered with 200, copies of earlier ones aside. */
   Duration answeredAt;
 
-  /** When it last showed that our answers reach it. */
-  Duration hearsAt;
-
-  /** Signs since then that they don't. */
+  /** Signs that our answers don't reach it, since it last showed that they do. */
   private int unheeded;
 
+  /** When the first of them was seen. */
+  private Duration doubtedSince;
+
   /** The token under which that was answered. */
   long answeredUnder = -1;
 
@@ -81,7 +81,6 @@
     this.name = name;
     this.history = history;
     this.answeredAt = now;
-    this.hearsAt = now;
     this.forgetAt = now.plus(Orders.FORGET_WAIT);
   }
 
@@ -126,11 +125,12 @@
       boolean ignores = report.token() < answeredUnder;
       heeds = elsewhere <= 0 && !again && !ignores;
       // Sent back by one other controller it may have been; who hears is not sent to a second one.
-      unheeded += again || elsewhere > 1 ? ENOUGH : heeds ? 0 : 1;
+      if (!heeds) {
+        doubt(again || elsewhere > 1 ? ENOUGH : 1, now);
+      }
     }
     if (heeds && report.token() == token) {
       unheeded = 0;
-      hearsAt = now;
     }
     heard = report.without();
     answeredAt = now;
@@ -138,8 +138,18 @@
   }
 
   /** Commands to it had no answer. */
-  void ignoredCommands() {
-    unheeded++;
+  void ignoredCommands(Duration now) {
+    doubt(1, now);
+  }
+
+  private void doubt(int signs, Duration now) {
+    doubtedSince = unheeded == 0 ? now : doubtedSince;
+    unheeded += signs;
+  }
+
+  /** The last moment at which it was heard and nothing said that it doesn't hear. */
+  Duration soundAt() {
+    return unhearing() ? doubtedSince : answeredAt;
   }
 
   /** Whether it is heard, and does not hear this controller. */
--- a/src/main/java/io/tansystack/workers/Silences.java
+++ b/src/main/java/io/tansystack/workers/Silences.java
@@ -25,7 +25,7 @@
 
   /** For how long the machine has not been heard, or has not heard: either way it is of no use. */
   Duration of(OwnedMachine machine, Duration now) {
-    return since(machine.unhearing() ? machine.hearsAt : machine.answeredAt, now);
+    return since(machine.soundAt(), now);
   }
 
   private Duration since(Duration last, Duration now) {
--- a/src/main/java/io/tansystack/workers/Telling.java
+++ b/src/main/java/io/tansystack/workers/Telling.java
@@ -39,6 +39,7 @@
         && old.report().token() == machine.latest.token()
         && (old.report().noticeS() == null) == (machine.latest.noticeS() == null)
         && old.token() == token
+        && old.unhearing() == machine.unhearing()
         && old.voids().equals(voids)
         && since.compareTo(silent(silence) ? TELL_SILENT : TELL_SAME) < 0) {
       return;
@@ -51,7 +52,8 @@
             machine.history.images(),
             machine.history.fetchGbPerS(),
             machine.history.slowness(),
-            Math.max(0, silence.toMillis()));
+            Math.max(0, silence.toMillis()),
+            machine.unhearing());
     if (old != null
         && since.compareTo(due(old, view)) < 0
         && !(silent(silence) && since.compareTo(TELL_SILENT) >= 0)) {
@@ -70,6 +72,7 @@
     Report before = old.report();
     Report latest = view.report();
     if (old.token() != view.token()
+        || old.unhearing() != view.unhearing()
         || before.session() != latest.session()
         || before.token() != latest.token()
         || (before.noticeS() == null) != (latest.noticeS() == null)
--- a/src/main/java/io/tansystack/workers/View.java
+++ b/src/main/java/io/tansystack/workers/View.java
@@ -37,6 +37,7 @@
   private final double fetchGbPerS;
   private final double slowness;
   private final long silentMs;
+  private final boolean unhearing;
   private Map<String, List<TaskReport>> exited;
 
   /**
@@ -44,6 +45,7 @@
    *     has this version
    * @param fetchGbPerS measured average, 0 if unknown
    * @param slowness measured run time over predicted, averaged, 0 if unknown
+   * @param unhearing whether its reports arrive and its owner's answers don't
    */
   public View(
       Report report,
@@ -52,7 +54,8 @@
       Map<String, Double> images,
       double fetchGbPerS,
       double slowness,
-      long silentMs) {
+      long silentMs,
+      boolean unhearing) {
     this.report = report;
     this.token = token;
     this.voids = voids;
@@ -60,6 +63,7 @@
     this.fetchGbPerS = fetchGbPerS;
     this.slowness = slowness;
     this.silentMs = silentMs;
+    this.unhearing = unhearing;
   }
 
   public Report report() {
@@ -90,6 +94,10 @@
     return silentMs;
   }
 
+  public boolean unhearing() {
+    return unhearing;
+  }
+
   /** Whether this view says more than the other one. */
   public boolean newerThan(View other) {
     if (token != other.token) {
@@ -180,6 +188,7 @@
     ObjectNode map = Cbor.map();
     map.set("report", report.without().write());
     map.put("token", token).put("bw", fetchGbPerS).put("slow", slowness).put("silent", silentMs);
+    map.put("unhearing", unhearing);
     Map<Group, BitSet> groups = new LinkedHashMap<>();
     for (TaskReport task : report.tasks()) {
       groups
@@ -217,7 +226,8 @@
         images,
         Read.amount(map, "bw"),
         Read.amount(map, "slow"),
-        Read.integer(map, "silent"));
+        Read.integer(map, "silent"),
+        Read.flagOr(map, "unhearing", false));
   }
 
   private static List<TaskReport> readTasks(ArrayNode groups) throws BadInput {
--- a/src/test/java/io/tansystack/workers/ProofsTest.java
+++ b/src/test/java/io/tansystack/workers/ProofsTest.java
@@ -43,7 +43,7 @@
     Report report =
         new Report(
             "n-1", "127.0.0.1:1", "g8", "a", false, session, 9, token, null, List.of(tasks));
-    return new View(report, token, voids, Map.of(), 0, 0, 0);
+    return new View(report, token, voids, Map.of(), 0, 0, 0, false);
   }
 
   private static TaskReport task(int index, long attempt, State state, Cause cause) {
