Who asked for a machine's write is told when a new holder drops it

A machine whose deletion the cloud had confirmed counted as returned while the removal of its record was dropped with the duty; it would have waited for its owner to declare it gone. MachineWritesTest.whatIsDroppedIsTold.

--- a/src/main/java/io/tansystack/fleet/MachineWrites.java
+++ b/src/main/java/io/tansystack/fleet/MachineWrites.java
@@ -49,10 +49,12 @@
     waiting.remove(machine);
   }
 
-  /** Nothing that was asked for before counts. */
+  /** Nothing that was asked for before counts; whoever asked is told so. */
   void startAnew() {
+    List<Wanted> dropped = List.copyOf(waiting.values());
     waiting.clear();
     alone.clear();
+    dropped.forEach(wanted -> wanted.then.done(Result.REFUSED, 0));
   }
 
   /** Sends what the write limit has room for. */
--- a/src/test/java/io/tansystack/fleet/MachineWritesTest.java
+++ b/src/test/java/io/tansystack/fleet/MachineWritesTest.java
@@ -66,6 +66,16 @@
         (result, revision) -> results.put(name, result));
   }
 
+  /** Or a machine whose deletion was confirmed would count as written and keep its record. */
+  @Test
+  void whatIsDroppedIsTold() {
+    ask(1);
+    writes.startAnew();
+    writes.send();
+    assertEquals(Map.of("n-1", Result.REFUSED), results);
+    assertEquals(0, transactions);
+  }
+
   @Test
   void placementsGoOnAndOneThatFailsSpoilsNoOthers() {
     for (int machine = 0; machine < MACHINES; machine++) {
