--- a/src/test/java/io/tansystack/sim/HalfHeardTest.java
+++ b/src/test/java/io/tansystack/sim/HalfHeardTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.wire.Cbor;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -11,6 +12,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -139,6 +141,26 @@
     allIsWell("seed " + seed);
   }
 
+  /** A machine that was given back is not claimed anew for what it said when it was there. */
+  @Test
+  void aCopyFromAMachineThatIsGoneStartsNothing() throws Exception {
+    running(3, 12, 20);
+    StandInWorker gone = workers.values().iterator().next();
+    byte[] body = Cbor.encode(gone.report().write());
+    loop.runFor(Duration.ofSeconds(200));
+    assertTrue(!workers.containsKey(gone.name), "idle, and given back");
+    long before = store.writes("ts/lots/") + store.writes("ts/machines/");
+    int[] status = new int[controllerCount];
+    for (int i = 0; i < controllerCount; i++) {
+      int to = i;
+      processes.get(to).run(() -> controllers.get(to).front("POST", "/v1/report", body,
+          (s, bytes, retryAfter) -> status[to] = s));
+    }
+    loop.runFor(Duration.ofSeconds(6));
+    assertEquals(before, store.writes("ts/lots/") + store.writes("ts/machines/"));
+    assertEquals(List.of(503, 503, 503), IntStream.of(status).boxed().toList());
+  }
+
   /** What is drawn: each lasts for a while of its own, and the next may come before it is over. */
   private void strike() {
     List<StandInWorker> all = List.copyOf(workers.values());
