Rounds of a team are gathered; a large array alone begins before others

With the write limit used up each transaction went out with what little was free: one placement and its team's record, two writes a gang. A transaction that writes a team's record now waits until eight writes are free (or half of what can be), and takes the most urgent job's team first.

--- a/src/main/java/io/tansystack/jobs/JobBook.java
+++ b/src/main/java/io/tansystack/jobs/JobBook.java
@@ -43,8 +43,8 @@
 final class JobBook {
   private static final Logger log = LoggerFactory.getLogger(JobBook.class);
 
-  /** A job that has not begun by then begins before others of its standing. */
-  private static final Duration DUE = Duration.ofSeconds(120);
+  /** Users expect the largest jobs to begin within four minutes. */
+  private static final Duration DUE = Duration.ofSeconds(150);
 
   private record Pending(JobRecord record, long baseVersion, long revision) {}
 
--- a/src/main/java/io/tansystack/jobs/RoundWriter.java
+++ b/src/main/java/io/tansystack/jobs/RoundWriter.java
@@ -20,10 +20,12 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -50,6 +52,9 @@
   /** and follows the last one after so many times the usual gap. */
   private static final int LITTLE_WAITS = 4;
 
+  /** Where a team's record is to be written, transactions are gathered until so many writes are free. */
+  private static final int ENOUGH_FOR_TEAM = 8;
+
   /** Of the 64 KiB that a transaction may have; the rest is for its conditions. */
   private static final int MAX_BYTES = 56 << 10;
 
@@ -125,52 +130,62 @@
   }
 
   private Duration writeLeft() {
-    Duration now = loop.now();
-    Duration progressGap = progressGap();
     Duration again = null;
-    Round round = new Round();
-    List<Draft> drafts = left;
-    left = new ArrayList<>();
-    for (Draft draft : drafts) {
+    Duration progressGap = progressGap();
+    List<Draft> ready = new ArrayList<>();
+    List<Draft> later = new ArrayList<>();
+    for (Draft draft : left) {
       if (world.job(draft.job().id()) != draft.job() || book.isPending(draft.job().id())) {
         continue; // It has changed since: the next plan knows how.
       }
-      Duration last = lastWrite.get(draft.job().id());
-      if (draft.spec().shape() == Shape.ARRAY && !draft.ends() && last != null) {
-        Duration due = last.plus(draft.places() ? placingGap(draft) : progressGap).minus(now);
-        if (!due.isNegative()) {
-          again = again == null || due.compareTo(again) < 0 ? due : again;
-          continue;
-        }
-      }
-      if (limited(draft) && teamsInFlight.contains(draft.spec().team())) {
-        left.add(draft);
-        continue;
-      }
-      boolean single = alone.contains(draft.job().id());
+      Duration due = dueIn(draft, progressGap);
       if (draft.needed().size() >= maxConditions) {
-        log.error("job={} needs {} conditions, more than allowed", draft.job().id(), draft.needed().size());
-        continue;
-      }
-      if (!round.isEmpty() && (single || !round.takes(draft))) {
-        round.send();
-        round = new Round();
+        log.error("job={} needs {} conditions, too many", draft.job().id(), draft.needed().size());
+      } else if (due.isNegative()) {
+        ready.add(draft);
+      } else {
+        again = again == null || due.compareTo(again) < 0 ? due : again;
       }
-      if (round.isEmpty() && store.spare() < (limited(draft) ? 2 : 1)) {
-        left.add(draft);
-        again = SOON;
+    }
+    while (!ready.isEmpty()) {
+      Draft first = ready.get(0);
+      if (limited(first) && teamsInFlight.contains(first.spec().team())) {
+        later.add(ready.remove(0));
         continue;
       }
-      round.add(draft);
-      if (single) {
-        round.send();
-        round = new Round();
+      if (store.spare() < worthwhile(ready)) {
+        again = SOON;
+        break;
       }
+      Round round = new Round();
+      round.fill(ready);
+      round.send();
     }
-    round.send();
+    later.addAll(ready);
+    left = later;
     return again;
   }
 
+  /** After how long the draft may be written; negative for now. */
+  private Duration dueIn(Draft draft, Duration progressGap) {
+    Duration last = lastWrite.get(draft.job().id());
+    if (draft.spec().shape() != Shape.ARRAY || draft.ends() || last == null) {
+      return Duration.ofNanos(-1);
+    }
+    return last.plus(draft.places() ? placingGap(draft) : progressGap).minus(loop.now());
+  }
+
+  /**
+   * So many writes have to be free for the next transaction. Where the limit is used up and each went out
+   * as soon as it could, every single placement would take a write of its team's record along.
+   */
+  private int worthwhile(List<Draft> ready) {
+    if (!limited(ready.get(0))) {
+      return 1;
+    }
+    return Math.max(2, Math.min(Math.min(ENOUGH_FOR_TEAM, store.halfSpare()), ready.size() + 1));
+  }
+
   /** What adds little to a running array waits for more: room comes free for it task by task. */
   private Duration placingGap(Draft draft) {
     int running = draft.job().record().placedCount();
@@ -216,8 +231,29 @@
     private final int room = store.spare();
     private int bytes;
 
-    boolean isEmpty() {
-      return parts.isEmpty();
+    /**
+     * Takes the most urgent draft, then those of its team, which cost one write each, and of the others as
+     * many as there is room for. One whose last transaction failed goes alone.
+     */
+    void fill(List<Draft> ready) {
+      Draft first = ready.remove(0);
+      add(first);
+      if (alone.contains(first.job().id())) {
+        return;
+      }
+      String team = first.spec().team();
+      takeFrom(ready, draft -> draft.spec().team().equals(team));
+      takeFrom(ready, draft -> !limited(draft) || !teamsInFlight.contains(draft.spec().team()));
+    }
+
+    private void takeFrom(List<Draft> ready, Predicate<Draft> which) {
+      for (Iterator<Draft> it = ready.iterator(); it.hasNext(); ) {
+        Draft draft = it.next();
+        if (which.test(draft) && !alone.contains(draft.job().id()) && takes(draft)) {
+          add(draft);
+          it.remove();
+        }
+      }
     }
 
     /** Whether there is room for one more. */
@@ -245,9 +281,6 @@
     }
 
     void send() {
-      if (parts.isEmpty()) {
-        return;
-      }
       List<Write> writes = new ArrayList<>();
       for (Draft draft : parts) {
         String id = draft.job().id();
--- a/src/main/java/io/tansystack/schedule/Planner.java
+++ b/src/main/java/io/tansystack/schedule/Planner.java
@@ -44,6 +44,7 @@
   private final Candidates candidates;
   private final Plan plan = new Plan(new LinkedHashMap<>(), new LinkedHashMap<>(), new ArrayList<>());
   private final Preemption preemption;
+  private final Turns turns;
 
   /** Replicas that are being stopped; they come back elsewhere. */
   private int replicasMoving;
@@ -65,6 +66,7 @@
     this.keep = new AcceleratorKeep(rooms.values(), snapshot.booting());
     this.candidates = new Candidates(rooms.values(), keep);
     this.preemption = new Preemption(teams, plan);
+    this.turns = new Turns(snapshot.machines());
   }
 
   public static Plan plan(Snapshot snapshot, RecordLimit limit, int maxMachines) {
@@ -110,7 +112,6 @@
       classes.get(teams.guaranteed(job.id()) ? at : at + 1).add(job);
     }
     List<JobState> order = new ArrayList<>(byArrival.size());
-    Turns turns = new Turns(snapshot.machines());
     classes.forEach(jobs -> order.addAll(turns.order(jobs)));
     return order;
   }
@@ -164,8 +165,7 @@
       allowed = record.placements().isEmpty() ? 1 : 0;
     }
     int most = Math.min(allowed, wanted);
-    boolean begins = job.due() && spec.shape() == Shape.ARRAY;
-    int[] tasks = unplaced.stream().limit(begins ? 1 : most).toArray();
+    int[] tasks = unplaced.stream().limit(turns.passedOver(job) ? 1 : most).toArray();
     Map<String, BitSet> chosen =
         spec.shape() == Shape.GANG ? placeGang(job, tasks) : placeEach(job, tasks);
     int placed = 0;
--- a/src/main/java/io/tansystack/schedule/Snapshot.java
+++ b/src/main/java/io/tansystack/schedule/Snapshot.java
@@ -69,8 +69,7 @@
    *     there is room, and nothing is stopped, kept or rented for it
    * @param late how many of its deadline's aims it can't meet any more
    * @param avoid machines where it lately failed or was refused
-   * @param due whether it has waited for so long without a beginning that it is to begin before others
-   *     of its standing
+   * @param due whether it has waited for so long without a beginning that it must not wait much longer
    */
   public record JobState(
       String id,
--- a/src/main/java/io/tansystack/schedule/Turns.java
+++ b/src/main/java/io/tansystack/schedule/Turns.java
@@ -16,13 +16,16 @@
  * what waits for long still gets its turn, since arrivals go on and its handicap does not grow. Jobs
  * that can still be in time go before those that can't ({@link Deadlines}).
  *
- * <p>None of these may keep a job from beginning for ever: the largest array has the largest handicap, and
- * a late job lets all others go first. One that has waited for long and has not begun is due, and comes
- * before all others of its standing: an array with a single task, which is as much as a beginning needs.
+ * <p>None of these may keep an array from beginning for ever: the largest has the largest handicap, and a
+ * late one lets all others go first. A large one that has waited for long and has not begun comes before
+ * all others of its standing, with a single task, which is as much as a beginning needs.
  */
 final class Turns {
   private static final double PART = 0.05;
 
+  /** An array with a longer handicap is a large one. */
+  private static final double LARGE_MS = 120_000;
+
   private record Turn(double at, JobState job) {}
 
   private final double cpus;
@@ -41,13 +44,18 @@
       turns.add(new Turn(job.record().submittedMs() + handicapMs(job), job));
     }
     turns.sort(
-        Comparator.comparing((Turn turn) -> !turn.job.due())
+        Comparator.comparing((Turn turn) -> !passedOver(turn.job))
             .thenComparingInt(turn -> turn.job.late())
             .thenComparingDouble(Turn::at)
             .thenComparing(turn -> turn.job.id()));
     return turns.stream().map(Turn::job).toList();
   }
 
+  /** Whether the job is a large array that is due to begin. */
+  boolean passedOver(JobState job) {
+    return job.due() && handicapMs(job) > LARGE_MS;
+  }
+
   private double handicapMs(JobState job) {
     JobSpec spec = job.record().spec();
     if (spec.shape() != Shape.ARRAY) {
--- a/src/main/java/io/tansystack/store/RateBudget.java
+++ b/src/main/java/io/tansystack/store/RateBudget.java
@@ -52,6 +52,11 @@
     return Math.max(0, (int) (available(now) - reserve));
   }
 
+  /** What {@link #spare} is at most. */
+  public int mostSpare() {
+    return (int) (burst - reserve);
+  }
+
   /** How many could be taken now by who is urgent. */
   public int available(Duration now) {
     refill(now);
--- a/src/main/java/io/tansystack/store/StoreClient.java
+++ b/src/main/java/io/tansystack/store/StoreClient.java
@@ -173,6 +173,11 @@
     return urgent.isEmpty() ? budget.spare(loop.now()) : 0;
   }
 
+  /** Half of what {@link #spare} can be after a pause. */
+  public int halfSpare() {
+    return budget.mostSpare() / 2;
+  }
+
   /** As {@link #reserve}, where at least as much is left over: for what can wait for long. */
   public boolean reserveSpare(int writes) {
     return budget.available(loop.now()) >= 2 * writes && reserve(writes);
--- a/src/test/java/io/tansystack/sim/ClusterTest.java
+++ b/src/test/java/io/tansystack/sim/ClusterTest.java
@@ -248,6 +248,38 @@
     return store.writes("ts/slots/");
   }
 
+  /**
+   * Three controllers place for the same team at once, with twice the room that its limit allows. Each
+   * writes several jobs a transaction, and the team's record once for all of them.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void aTeamStaysWithinItsLimitWhoeverPlaces(long seed) throws Exception {
+    random = new Random(seed);
+    maxMachines = 20;
+    controllerCount = 3;
+    for (int i = 0; i < 3; i++) {
+      boot(i);
+    }
+    loop.runFor(Duration.ofSeconds(2));
+    for (int round = 0; round < 8; round++) {
+      for (int to = 0; to < 3; to++) {
+        List<JobSpec> burst = new ArrayList<>();
+        for (int j = 0; j < 6; j++) {
+          burst.add(spec("wk-" + round + to + "000" + j, 3 + random.nextInt(6)));
+        }
+        submitTogether(to, burst);
+        // One that has stood still plans from a copy that lacks what the others have placed meanwhile.
+        processes.get(random.nextInt(3)).freeze(Duration.ofMillis(random.nextInt(1400)));
+      }
+      loop.runFor(Duration.ofMillis(random.nextInt(9000)));
+      check();
+    }
+    loop.runFor(Duration.ofSeconds(30));
+    assertEquals(Set.of(), broken);
+    assertTrue(started.size() > 100, "it was used: " + started.size());
+  }
+
   /** Nothing is held back to keep its sender waiting: who can't be served is told so at once. */
   @Test
   void usersOfOneThatTheStateServiceRefusesAreAnsweredAtOnce() throws Exception {
