--- a/src/test/java/io/tansystack/sim/ClusterTest.java
+++ b/src/test/java/io/tansystack/sim/ClusterTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.settings.SettingsTest;
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.Shape;
 import io.tansystack.wire.JobSpec;
@@ -280,6 +281,25 @@
     assertTrue(started.size() > 100, "it was used: " + started.size());
   }
 
+  /** On a large fleet one controller has all duties, whoever claimed them first, and another after its end. */
+  @Test
+  void onALargeFleetOneHasAllDuties() throws Exception {
+    settings = SettingsTest.GOOD.replace("cpus_max = 40.0", "cpus_max = 0.0");
+    maxMachines = 200;
+    bootThreeWithWork(800);
+    loop.runFor(Duration.ofSeconds(20));
+    String planner = "c-" + fleetHolder();
+    assertEquals(12, slotsOf(planner));
+    kill(fleetHolder());
+    loop.runFor(Duration.ofSeconds(15));
+    String next = "c-" + fleetHolder();
+    assertTrue(!next.equals(planner), next + " plans");
+    assertEquals(12, slotsOf(next));
+    boot(Integer.parseInt(planner.substring(2)));
+    loop.runFor(Duration.ofSeconds(30));
+    assertEquals(12, slotsOf(next), "a return moves nothing");
+  }
+
   /** Nothing is held back to keep its sender waiting: who can't be served is told so at once. */
   @Test
   void usersOfOneThatTheStateServiceRefusesAreAnsweredAtOnce() throws Exception {
