Aims are checked by kind, and a description that fits no value is refused with 422

A job whose description is longer than an eighth of the state service's value can never be recorded: 422 rather than 400, and with values of 8 KiB what 16 KiB would hold. SettingsTest, ClusterTest.

--- a/src/main/java/io/tansystack/jobs/Submissions.java
+++ b/src/main/java/io/tansystack/jobs/Submissions.java
@@ -97,7 +97,7 @@
       return;
     }
     if (!limit.accepts(spec)) {
-      answerKnown(id, 400, "the description is too long", once);
+      answerKnown(id, 422, "the description is too long to be recorded", once);
       return;
     }
     intake.accept(
--- a/src/main/java/io/tansystack/settings/PlatformSettings.java
+++ b/src/main/java/io/tansystack/settings/PlatformSettings.java
@@ -5,6 +5,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The file that the platform hands over. Keys that are not known here are ignored. */
 public record PlatformSettings(
@@ -24,7 +26,9 @@
     Cloud cloudLimits,
     Limits limits) {
 
+  private static final Logger log = LoggerFactory.getLogger(PlatformSettings.class);
   private static final double HUGE = 1e9;
+  private static final double SHORTEST_S = 0.001;
 
   /** Another controller. */
   public record Peer(String label, String zone, InetSocketAddress address) {}
@@ -79,13 +83,10 @@
     }
     List<Objective> objectives = new ArrayList<>();
     for (TomlTable objective : cluster.tables("objectives")) {
-      objectives.add(
-          new Objective(
-              objective.text("kind"),
-              objective.textOr("class", null),
-              objective.secondsOr("within_s", 0, 0, HUGE),
-              objective.numberOr("share", 0, 0, 1),
-              objective.numberOr("times", 1, 0, HUGE)));
+      Objective known = objective(objective);
+      if (known != null) {
+        objectives.add(known);
+      }
     }
     TomlTable workers = cluster.table("workers");
     TomlTable state = cluster.table("state");
@@ -121,6 +122,27 @@
             limits.integerOr("max_connections", 1000, 16, 1_000_000)));
   }
 
+  /** An aim; null for one of a kind that is not known here, since new kinds may come. */
+  private static Objective objective(TomlTable aim) throws SettingsException {
+    String kind = aim.text("kind");
+    switch (kind) {
+      case "wait", "finished", "guarantee" -> {
+        String jobClass = kind.equals("guarantee") ? null : aim.text("class");
+        Duration within = aim.seconds("within_s", SHORTEST_S, HUGE);
+        return new Objective(kind, jobClass, within, aim.number("share", 0, 1), 1);
+      }
+      case "deadline" -> {
+        double times = aim.numberOr("times", 1, SHORTEST_S, HUGE);
+        return new Objective(
+            kind, aim.text("class"), Duration.ZERO, aim.number("share", 0, 1), times);
+      }
+      default -> {
+        log.warn("{}: aims of kind {} are not known and are ignored", aim.key("kind"), kind);
+        return null;
+      }
+    }
+  }
+
   public Team team(String name) {
     for (Team team : teams) {
       if (team.name().equals(name)) {
--- a/src/test/java/io/tansystack/settings/SettingsTest.java
+++ b/src/test/java/io/tansystack/settings/SettingsTest.java
@@ -80,6 +80,36 @@
     assertTrue(e.getMessage().startsWith(key + ":"), e.getMessage());
   }
 
+  /** Aims of the platform's file: known kinds are checked, others are left out. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "kind = \"wait\"; class = \"c\"; within_s = 10.0; share = 0.8|1|",
+        "kind = \"guarantee\"; within_s = 5.0; share = 0.985|1|",
+        "kind = \"deadline\"; class = \"c\"; share = 0.6; times = 1.5|1|",
+        "kind = \"makespan\"; share = 0.99|0|",
+        "kind = \"wait\"; within_s = 10.0; share = 0.8|0|cluster.objectives[0].class",
+        "kind = \"finished\"; class = \"c\"; share = 0.8|0|cluster.objectives[0].within_s",
+        "kind = \"finished\"; class = \"c\"; within_s = 0.0; share = 0.8|0|cluster.objectives[0].within_s",
+        "kind = \"guarantee\"; within_s = 5.0; share = 1.5|0|cluster.objectives[0].share",
+        "kind = \"deadline\"; class = \"c\"; share = 0.6; times = 0.0|0|cluster.objectives[0].times",
+        "class = \"c\"; share = 0.6|0|cluster.objectives[0].kind"
+      })
+  void aimsAreCheckedAndUnknownKindsIgnored(String aim, int count, String key) throws Exception {
+    String text =
+        GOOD.replace(
+            "[cluster.workers]",
+            "[[cluster.objectives]]\n" + aim.replace("; ", "\n") + "\n[cluster.workers]");
+    if (key == null) {
+      assertEquals(count, PlatformSettings.parse(text).objectives().size());
+    } else {
+      SettingsException e =
+          assertThrows(SettingsException.class, () -> PlatformSettings.parse(text));
+      assertTrue(e.getMessage().startsWith(key + ":"), e.getMessage());
+    }
+  }
+
   @Test
   void operatorsKeysHaveDefaultsAndBounds() throws Exception {
     assertEquals(OperatorSettings.defaults(), OperatorSettings.parse("[rent]\n"));
--- a/src/test/java/io/tansystack/sim/ClusterTest.java
+++ b/src/test/java/io/tansystack/sim/ClusterTest.java
@@ -67,6 +67,22 @@
     }
   }
 
+  /** A description takes an eighth of a value at most; what could never be recorded is refused, not kept. */
+  @ParameterizedTest
+  @CsvSource({"16.0,201", "8.0,422"})
+  void aDescriptionThatFitsNoValueIsRefused(String valueKb, int status) throws Exception {
+    settings = SettingsTest.GOOD.replace("value_kb = 16.0", "value_kb = " + valueKb);
+    boot(0);
+    loop.runFor(Duration.ofSeconds(2));
+    ObjectNode job = spec("wk-000001", 1).write();
+    job.putArray("Fleets").add("small");
+    for (int i = 0; i < 50; i++) {
+      job.withArray("Fleets").add("a-type-with-a-long-name-" + i);
+    }
+    assertEquals(status, call("POST", "/v1/jobs", Cbor.encode(job), new ObjectNode[1]));
+    assertEquals(status == 201 ? "pending" : "404", state("wk-000001"));
+  }
+
   @Test
   void cancelledWorkIsGoneAndStaysCancelled() throws Exception {
     boot(0);
