--- a/src/main/java/io/tansystack/cluster/World.java
+++ b/src/main/java/io/tansystack/cluster/World.java
@@ -267,11 +267,7 @@
   }
 
   private static <V> void put(Map<String, V> map, String key, V value) {
-    if (value == null) {
-      map.remove(key);
-    } else {
-      map.put(key, value);
-    }
+    map.compute(key, (k, old) -> value); // With null it is removed.
   }
 
   /** Replaces what is known of a job (null: nothing), and what is recorded on its machines. */
--- a/src/main/java/io/tansystack/schedule/Planner.java
+++ b/src/main/java/io/tansystack/schedule/Planner.java
@@ -16,8 +16,6 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Comparator;
-import java.util.EnumMap;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -49,11 +47,7 @@
   /** Replicas that are being stopped; they come back elsewhere. */
   private int replicasMoving;
 
-  /** For what no room could be made in this pass, by priority: nor can it for what asks for more. */
-  private final Map<Priority, List<Ask>> notMadeFor = new EnumMap<>(Priority.class);
-
-  /** The same for jobs within their team's guarantee, by priority and team. */
-  private final Map<String, List<Ask>> notMadeForOwed = new HashMap<>();
+  private final NotMade notMade = new NotMade();
 
   private Planner(Snapshot snapshot, RecordLimit limit, int maxMachines) {
     this.snapshot = snapshot;
@@ -337,7 +331,7 @@
         job.impatient() && (spec.priority() != Priority.LOW || teams.guaranteed(job.id()));
     Ask ask = Ask.of(spec);
     boolean owed = teams.guaranteed(job.id());
-    if (owed ? notMadeForOwed(ask, spec) : notMade(ask, spec.priority())) {
+    if (notMade.covers(ask, spec, owed)) {
       return left;
     }
     Object2IntOpenHashMap<String> zones = zones(job.record(), rooms);
@@ -359,41 +353,11 @@
       left = preemption.stopFor(job, left, allowed, zones);
     }
     if (left > 0 && mayPreempt && !byZone(spec) && job.avoid().isEmpty()) {
-      if (owed) {
-        notMadeForOwed
-            .computeIfAbsent(owedAs(spec), k -> new ArrayList<>())
-            .add(ask);
-      } else {
-        notMadeFor.computeIfAbsent(spec.priority(), k -> new ArrayList<>()).add(ask);
-      }
+      notMade.add(ask, spec, owed);
     }
     return left;
   }
 
-  private static String owedAs(JobSpec spec) {
-    return spec.priority() + " " + spec.team();
-  }
-
-  /** Another job of the team found that nobody owes it room, nor is room about to come free. */
-  private boolean notMadeForOwed(Ask ask, JobSpec spec) {
-    return notMadeForOwed.getOrDefault(owedAs(spec), List.of()).stream().anyMatch(ask::asksNoLessThan);
-  }
-
-  /** A job that may have others stopped found no room; one of no higher priority need not look. */
-  private boolean notMade(Ask ask, Priority priority) {
-    for (Map.Entry<Priority, List<Ask>> entry : notMadeFor.entrySet()) {
-      // Of lower priority, or not yet allowed to stop others: it could use less than the first one.
-      if (entry.getKey().ordinal() <= priority.ordinal()) {
-        for (Ask failed : entry.getValue()) {
-          if (ask.asksNoLessThan(failed)) {
-            return true;
-          }
-        }
-      }
-    }
-    return false;
-  }
-
   private static boolean byZone(JobSpec spec) {
     return spec.shape() == Shape.SERVICE || spec.scatter() || spec.sameZone();
   }
