--- a/src/main/java/io/tansystack/jobs/FailureMemory.java
+++ b/src/main/java/io/tansystack/jobs/FailureMemory.java
@@ -16,6 +16,10 @@
  */
 final class FailureMemory {
   private static final Duration AVOID = Duration.ofSeconds(30);
+
+  /** By then a machine that replicas are moved off is clear, or is not going to be. */
+  private static final Duration MOVED = Duration.ofSeconds(10);
+
   private static final Duration SHORTEST_PAUSE = Duration.ofMillis(500);
   private static final int MOST_DOUBLINGS = 6;
 
@@ -92,6 +96,15 @@
     return of != null && now.compareTo(of.notBefore) < 0;
   }
 
+  /**
+   * A replica is moved off the machine. Its image is there, so it would come back at once while others are
+   * still being moved, and be moved off again (hundreds of times a minute on relsovo-plan-ops).
+   */
+  void movedOff(String job, String machine, Duration now) {
+    jobs.computeIfAbsent(job, k -> new OfJob()).avoid.merge(
+        machine, now.plus(MOVED), (a, b) -> a.compareTo(b) > 0 ? a : b);
+  }
+
   /** Machines that the job had better not use for a while. */
   Set<String> avoid(String job, Duration now) {
     OfJob of = jobs.get(job);
--- a/src/main/java/io/tansystack/jobs/JobBook.java
+++ b/src/main/java/io/tansystack/jobs/JobBook.java
@@ -190,6 +190,11 @@
     dirtyJobs.add(job.id());
   }
 
+  /** A replica of the job is being moved off the machine. */
+  void movedOff(String id, String machine) {
+    failures.movedOff(id, machine, loop.now());
+  }
+
   /** The write has come true as of a revision. */
   void written(String id, long revision) {
     pending.computeIfPresent(id, (k, p) -> new Pending(p.record, p.baseVersion, revision));
--- a/src/main/java/io/tansystack/jobs/JobDuty.java
+++ b/src/main/java/io/tansystack/jobs/JobDuty.java
@@ -41,7 +41,10 @@
    * all controllers together must not spend more on planning than on anything else. Shorter where
    * one of our jobs has just come.
    */
-  private static final int REST = 20;
+  private static final int REST = 120;
+
+  /** What waits for room is not kept waiting longer for a pass, however long one takes. */
+  private static final Duration LONGEST_REST = Duration.ofMillis(1500);
 
   private static final int SHORT_REST = 8;
 
@@ -123,6 +126,7 @@
     // While a start lasts, each word of the machines opens room that others have waited for; and the
     // first passes, of a process that is still cold, take a tenth of a second.
     gap = coverage.open(loop.now()) && gap.compareTo(START_GAP) > 0 ? START_GAP : gap;
+    gap = gap.compareTo(LONGEST_REST) > 0 ? LONGEST_REST : gap;
     return (gap.compareTo(MIN_GAP) > 0 ? gap : MIN_GAP).minus(loop.now().minus(lastPass));
   }
 
--- a/src/main/java/io/tansystack/jobs/RoundWriter.java
+++ b/src/main/java/io/tansystack/jobs/RoundWriter.java
@@ -333,6 +333,9 @@
   private void report(Draft draft) {
     String id = draft.job().id();
     for (Plan.Stop stop : plan.stops().getOrDefault(id, List.of())) {
+      if (stop.isMove()) {
+        book.movedOff(id, stop.machine());
+      }
       log.info(
           "preempt job={} tasks={} machine={} for={}",
           id,
--- a/src/main/java/io/tansystack/schedule/Plan.java
+++ b/src/main/java/io/tansystack/schedule/Plan.java
@@ -18,7 +18,18 @@
     Map<String, List<Assignment>> placements, Map<String, List<Stop>> stops, List<Unmet> unmet) {
 
   /** Tasks of a job to be stopped on a machine. */
-  public record Stop(String machine, TaskSet tasks, String forJob) {}
+  public record Stop(String machine, TaskSet tasks, String forJob) {
+    private static final String MOVE = "a move to ";
+
+    /** A replica that is to come back on another machine. */
+    static Stop move(String from, TaskSet tasks, String to) {
+      return new Stop(from, tasks, MOVE + to);
+    }
+
+    public boolean isMove() {
+      return forJob.startsWith(MOVE);
+    }
+  }
 
   /** Tasks that found no room. */
   public record Unmet(String job, JobSpec spec, int tasks, boolean guaranteed) {}
--- a/src/main/java/io/tansystack/schedule/ReplicaMoves.java
+++ b/src/main/java/io/tansystack/schedule/ReplicaMoves.java
@@ -160,10 +160,10 @@
         plan.stops()
             .computeIfAbsent(job.id(), k -> new ArrayList<>())
             .add(
-                new Stop(
+                Stop.move(
                     from.machine.name(),
                     TaskSet.EMPTY.with(held.placement().tasks().next(0)),
-                    "a move to " + to.machine.name()));
+                    to.machine.name()));
         return true;
       }
     }
--- a/src/test/java/io/tansystack/jobs/FailureMemoryTest.java
+++ b/src/test/java/io/tansystack/jobs/FailureMemoryTest.java
@@ -4,6 +4,8 @@
 
 import io.tansystack.wire.TaskReport.Cause;
 import java.time.Duration;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -50,4 +52,18 @@
     assertEquals(faulty, memory.faulty("m", now), name);
     assertEquals(false, memory.faulty("m", now.plusSeconds(31)), "it ends by time alone");
   }
+
+  /** What is moved off a machine had better not come back at once, and is under no suspicion for it. */
+  @Test
+  void aMachineThatReplicasAreMovedOffIsAvoidedForAWhile() {
+    FailureMemory memory = new FailureMemory();
+    Duration now = Duration.ofSeconds(100);
+    memory.failed("j", 0, 1, "bad", Cause.ERROR, now);
+    memory.movedOff("j", "bad", now);
+    memory.movedOff("j", "m", now);
+    assertEquals(Set.of("bad", "m"), memory.avoid("j", now.plusSeconds(9)));
+    assertEquals(Set.of("bad"), memory.avoid("j", now.plusSeconds(11)), "what failed lasts longer");
+    assertEquals(Set.of(), memory.avoid("other", now));
+    assertEquals(false, memory.suspected("j"));
+  }
 }
--- a/src/test/java/io/tansystack/schedule/PlannerTest.java
+++ b/src/test/java/io/tansystack/schedule/PlannerTest.java
@@ -355,6 +355,7 @@
     Plan plan = plan();
     assertEquals(1, plan.stops().get("wk-1").size());
     assertEquals(1, plan.stops().get("wk-1").get(0).tasks().size());
+    assertTrue(plan.stops().get("wk-1").get(0).isMove());
   }
 
   @Test
