--- a/src/main/java/io/tansystack/jobs/Drafts.java
+++ b/src/main/java/io/tansystack/jobs/Drafts.java
@@ -79,8 +79,7 @@
         places = false;
       }
       if (!next.equals(job.record())) {
-        drafts.add(
-            new Draft(job, next, conditions(job, places), places, ends));
+        drafts.add(new Draft(job, next, conditions(job, places), places, ends));
       }
     }
     drafts.sort(
--- a/src/main/java/io/tansystack/jobs/JobDuty.java
+++ b/src/main/java/io/tansystack/jobs/JobDuty.java
@@ -162,8 +162,7 @@
     book.refresh();
     if (planned) {
       snapshot = book.snapshot(booting.get());
-      plan =
-Planner.plan(snapshot, limit, settings.store().txnOps() * 2);
+      plan = Planner.plan(snapshot, limit, settings.store().txnOps() * 2);
       Duration again = writer.write(plan);
       if (again != null) {
         Duration gap = gap(REST);
