Tests: the simulated cluster in parts; leases and watches of the stand-in store as published

Change: network, cloud and users are apart. New troubles, used by nothing yet: transactions carried out late, a slow store, commands lost or held up with their answers, hung machines, tasks that fetch and save, zones.

--- /dev/null
+++ b/src/test/java/io/tansystack/sim/SimNetwork.java
@@ -0,0 +1,400 @@
+package io.tansystack.sim;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.cli.Controller;
+import io.tansystack.http.HttpCaller;
+import io.tansystack.http.HttpServer.Reply;
+import io.tansystack.settings.OperatorSettings;
+import io.tansystack.settings.PlatformSettings;
+import io.tansystack.settings.SettingsTest;
+import io.tansystack.wire.BadInput;
+import io.tansystack.wire.Cbor;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Whole controllers against stand-ins for the state service, the cloud and workers, in simulated
+ * time, and what lies between them: the network loses answers, delays requests by up to minutes, and
+ * controllers are killed at any moment.
+ */
+abstract class SimNetwork {
+  static final InetSocketAddress STORE = new InetSocketAddress("127.0.0.1", 2379);
+  static final InetSocketAddress CLOUD = new InetSocketAddress("127.0.0.1", 8443);
+
+  final SimLoop loop = new SimLoop();
+  final StandInStore store = new StandInStore(loop, () -> this.outage);
+  final Map<String, StandInWorker> workers = new LinkedHashMap<>();
+  final Map<Integer, Controller> controllers = new HashMap<>();
+  final Map<Integer, SimLoop.Mortal> processes = new HashMap<>();
+  final List<String> started = new ArrayList<>();
+  final Set<String> broken = new HashSet<>();
+  Random random = new Random(1);
+  int controllerCount = 1;
+
+  /** The platform's settings, of which label, addresses and size are each controller's own. */
+  String settings = SettingsTest.GOOD;
+
+  /** Whether the state service is away for everybody. */
+  boolean outage;
+
+  /** The controller that the state service alone refuses; -1 for none. */
+  int refused = -1;
+
+  /** Controllers that reach nobody and that nobody reaches, without any error; and those cut from peers. */
+  final Set<Integer> silent = new HashSet<>();
+
+  /** Whether connections between controllers are refused while all else works. */
+  boolean peersRefuse;
+
+  /** The controller cut off from the workers, both ways; -1 for none. */
+  int deafTo = -1;
+
+  /** Workers that no controller hears. */
+  final Set<String> unheard = new HashSet<>();
+
+  /** Workers whose reports arrive, while neither answers nor commands reach them. */
+  final Set<String> unhearing = new HashSet<>();
+
+  /** How often a copy of a report comes once more, seconds to minutes later, at any controller. */
+  double copies;
+
+  /** Controllers that have lost the state service and the other controllers, but not users and workers. */
+  final Set<Integer> apart = new HashSet<>();
+
+  /** For how long transactions that delete a machine's record are held up on their way. */
+  Duration deletionsLate = Duration.ZERO;
+
+  /** Whether a deletion that is asked for again is refused, while the first may still be under way. */
+  boolean refuseRepeated;
+
+  final Set<String> deletions = new HashSet<>();
+
+  /** How often an exchange goes wrong. */
+  double trouble;
+
+  final StandInCloud cloud = new StandInCloud(this);
+
+  /** Where machines can be rented; the controllers are in the zone "a". */
+  List<String> zones = List.of("a");
+
+  /** How long a task runs, how long its image takes to come, and how long it saves when it is stopped. */
+  Duration run = Duration.ofSeconds(20);
+
+  Duration fetch = Duration.ZERO;
+  Duration save = Duration.ZERO;
+
+  /** Tasks that have completed on some machine. */
+  final Set<String> completed = new HashSet<>();
+
+  /** How often a transaction gets no answer and is carried out 2 to 12 s later, after newer ones. */
+  double lateWrites;
+
+  /** The longest time by which a request to the state service and its answer are held up each. */
+  Duration storeSlow = Duration.ZERO;
+
+  /** Workers that no direct command reaches, while their reports and the answers to these do. */
+  final Set<String> uncommanded = new HashSet<>();
+
+  /** How often direct commands, and how often their answers, are held up for up to {@link #heldFor}. */
+  double held;
+
+  Duration heldFor = Duration.ofSeconds(20);
+
+  int machineCounter;
+  int maxMachines = 8;
+
+  static int port(int controller) {
+    return 8080 + 10 * controller;
+  }
+
+  PlatformSettings settings(int me) throws Exception {
+    StringBuilder seeds = new StringBuilder();
+    for (int i = 0; i < controllerCount; i++) {
+      if (i != me) {
+        seeds.append(
+            "[[seeds]]\nlabel = \"c-" + i + "\"\nzone = \"a\"\npeer_addr = \"127.0.0.1:"
+                + (port(i) + 1) + "\"\n");
+      }
+    }
+    return PlatformSettings.parse(
+        settings
+            .replace("c-0", "c-" + me)
+            .replace("127.0.0.1:8080", "127.0.0.1:" + port(me))
+            .replace("127.0.0.1:8081", "127.0.0.1:" + (port(me) + 1))
+            .replace("size = 1", "size = " + controllerCount)
+            .replace("[services]", seeds + "[services]"));
+  }
+
+  /** A number of the settings. */
+  double setting(String key) {
+    Matcher line = Pattern.compile("(?m)^" + key + " = ([0-9.]+)").matcher(settings);
+    if (!line.find()) {
+      throw new IllegalArgumentException("no setting " + key);
+    }
+    return Double.parseDouble(line.group(1));
+  }
+
+  /** That the rules hold at this moment. */
+  abstract void check();
+
+  void boot(int index) throws Exception {
+    SimLoop.Mortal process = loop.process();
+    Controller controller =
+        new Controller(
+            process,
+            caller(process, index),
+            settings(index),
+            OperatorSettings.defaults(),
+            () -> Instant.ofEpochMilli(loop.now().toMillis()),
+            new Random(random.nextLong()));
+    processes.put(index, process);
+    controllers.put(index, controller);
+    controller.start();
+  }
+
+  void kill(int index) {
+    processes.get(index).dead = true;
+    controllers.remove(index);
+  }
+
+  /** Carries requests to the stand-ins and controllers, with delays, losses and late deliveries. */
+  HttpCaller caller(SimLoop.Mortal from, int index) {
+    return (to, method, path, body, timeout, outcome) -> {
+      if (to.equals(STORE) && (index == refused || outage)) {
+        from.execute(() -> outcome.answer(503, Cbor.encode(Cbor.map())));
+        return;
+      }
+      boolean[] over = {false};
+      from.after(
+          timeout,
+          () -> {
+            if (!over[0]) {
+              over[0] = true;
+              outcome.silence(false);
+            }
+          });
+      int peer = to.getPort() < 9000 && to.getPort() > 8080 ? (to.getPort() - 8080) / 10 : -1;
+      if (peersRefuse && peer >= 0 && !to.equals(CLOUD)) {
+        from.execute(() -> {
+          over[0] = true;
+          outcome.silence(true);
+        });
+        return;
+      }
+      if (peer >= 0 && !to.equals(CLOUD) && !controllers.containsKey(peer) && !silent.contains(index)) {
+        from.after(
+            Duration.ofMillis(2),
+            () -> {
+              over[0] = true;
+              outcome.silence(true); // Nobody listens where a process has ended.
+            });
+        return;
+      }
+      if (silent.contains(index)
+          || (silent.contains(peer) && !to.equals(CLOUD))
+          || (apart.contains(index) && (to.equals(STORE) || peer >= 0))
+          || (apart.contains(peer) && !to.equals(CLOUD))
+          || (index == deafTo && to.getPort() >= 9000)) {
+        return;
+      }
+      if (to.equals(STORE) && path.equals("/commit") && drawn(lateWrites)) {
+        carriedOutLate(decode(body));
+        return;
+      }
+      boolean late = random.nextDouble() < trouble;
+      boolean lost = random.nextDouble() < trouble;
+      Duration way = late ? Duration.ofMillis(3000 + random.nextInt(40_000)) : delay(to);
+      Duration home = delay(to);
+      BiConsumer<Integer, byte[]> back =
+          (status, answer) ->
+              whenServed(
+                  index,
+                  path,
+                  () ->
+                      from.after(
+                          home,
+                          () -> {
+                            if (!over[0] && !lost) {
+                              over[0] = true;
+                              outcome.answer(status, answer);
+                            }
+                          }));
+      loop.after(way, () -> deliver(to, method, path, body, back));
+    };
+  }
+
+  private boolean drawn(double share) {
+    return share > 0 && random.nextDouble() < share;
+  }
+
+  private Duration delay(InetSocketAddress to) {
+    Duration most = to.equals(STORE) ? storeSlow : to.getPort() >= 9000 && drawn(held) ? heldFor : Duration.ZERO;
+    return most.isZero() ? Duration.ofMillis(2) : Duration.ofMillis(2 + random.nextInt((int) most.toMillis()));
+  }
+
+  /** Open watches stay open while the state service is away, or refuses their controller. */
+  private void whenServed(int index, String path, Runnable then) {
+    if (path.startsWith("/watch?") && (outage || refused == index)) {
+      loop.after(Duration.ofMillis(50), () -> whenServed(index, path, then));
+    } else {
+      then.run();
+    }
+  }
+
+  /** No answer comes; it is carried out after newer ones, once the state service is there. */
+  private void carriedOutLate(ObjectNode transaction) {
+    loop.after(
+        Duration.ofMillis(2000 + random.nextInt(10_000)),
+        () -> {
+          if (outage) {
+            carriedOutLate(transaction);
+          } else {
+            store.handle("POST", "/commit", transaction, (status, answer) -> {});
+          }
+        });
+  }
+
+  void deliver(
+      InetSocketAddress to,
+      String method,
+      String path,
+      byte[] body,
+      BiConsumer<Integer, byte[]> back) {
+    BiConsumer<Integer, ObjectNode> reply = (status, map) -> back.accept(status, Cbor.encode(map));
+    if (to.equals(STORE)) {
+      boolean deletes = path.equals("/commit") && decode(body).toString().contains("\"Delete\":\"ts/machines/");
+      if (deletes && !deletions.add(decode(body).toString()) && refuseRepeated) {
+        back.accept(503, Cbor.encode(Cbor.map()));
+        return;
+      }
+      loop.after(
+          deletes ? deletionsLate : Duration.ZERO,
+          () -> store.handle(method, path, decode(body), reply));
+    } else if (to.equals(CLOUD)) {
+      cloud.handle(path, decode(body), reply);
+    } else if (to.getPort() >= 9000) {
+      for (StandInWorker worker : workers.values()) {
+        if (worker.address.endsWith(":" + to.getPort())
+            && !worker.dead
+            && !unhearing.contains(worker.name)
+            && !uncommanded.contains(worker.name)) {
+          if (worker.hangs()) {
+            loop.after(worker.hungUntil.minus(loop.now()), () -> deliver(to, method, path, body, back));
+            return;
+          }
+          int status = worker.orders(decode(body));
+          check();
+          back.accept(status, Cbor.encode(worker.report().write()));
+        }
+      }
+    } else {
+      Controller controller = controllers.get((to.getPort() - 8080) / 10);
+      if (controller != null) {
+        Reply answer = (status, bytes, retry) -> back.accept(status, bytes);
+        int index = (to.getPort() - 8080) / 10;
+        processes.get(index).run(() -> controller.peer(method, path, body, answer));
+      }
+    }
+  }
+
+  static ObjectNode decode(byte[] body) {
+    try {
+      return body == null ? Cbor.map() : Cbor.decodeMap(body);
+    } catch (BadInput e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  String addWorker(String zone) {
+    String name = String.format("n-%06d", machineCounter);
+    StandInWorker worker =
+        new StandInWorker(
+            this, name, "127.0.0.1:" + (9000 + machineCounter), zone,
+            Duration.ofMillis((long) (setting("lease_s") * 1000)));
+    machineCounter++;
+    workers.put(name, worker);
+    loop.after(Duration.ofSeconds(5), () -> report(worker));
+    return name;
+  }
+
+  void report(StandInWorker worker) {
+    if (worker.dead) {
+      return;
+    }
+    if (worker.hangs()) {
+      loop.after(worker.hungUntil.minus(loop.now()), () -> report(worker));
+      return;
+    }
+    Duration sentAt = loop.now();
+    long session = worker.session;
+    boolean[] over = {false};
+    Controller controller = controllers.get(worker.target);
+    Runnable next = () -> {
+      worker.target = (worker.target + 1) % controllerCount;
+      loop.after(Duration.ofSeconds(1), () -> report(worker));
+    };
+    loop.after(Duration.ofSeconds(4), () -> {
+      if (!over[0]) {
+        over[0] = true;
+        next.run();
+      }
+    });
+    if (controller == null) {
+      over[0] = true; // Nobody listens where a process has ended.
+      next.run();
+      return;
+    }
+    if (silent.contains(worker.target)
+        || deafTo == worker.target
+        || unheard.contains(worker.name)
+        || random.nextDouble() < trouble) {
+      return;
+    }
+    boolean lost = random.nextDouble() < trouble;
+    byte[] body = Cbor.encode(worker.report().write());
+    if (copies > 0 && random.nextDouble() < copies) {
+      copyLater(body);
+    }
+    Reply reply = (status, bytes, r) -> {
+      if (over[0] || lost || worker.dead || worker.hangs() || unhearing.contains(worker.name)) {
+        return;
+      }
+      over[0] = true;
+      if (status == 200) {
+        worker.answered(status, decode(bytes), sentAt, session);
+        loop.after(Duration.ofMillis(1500), () -> report(worker));
+      } else if (status == 421 && decode(bytes).has("Dispatcher")) {
+        worker.target = Integer.parseInt(decode(bytes).get("Dispatcher").asText().substring(2));
+        loop.after(Duration.ofMillis(300), () -> report(worker));
+      } else {
+        next.run();
+      }
+    };
+    processes.get(worker.target).run(() -> controller.front("POST", "/v1/report", body, reply));
+  }
+
+  /** From seconds to well over a lease later, and whoever answers, nobody hears it. */
+  private void copyLater(byte[] body) {
+    loop.after(
+        Duration.ofMillis(2000 + random.nextInt(70_000)),
+        () -> {
+          int to = random.nextInt(controllerCount);
+          Controller controller = controllers.get(to);
+          if (controller != null && !silent.contains(to)) {
+            processes.get(to).run(() -> controller.front("POST", "/v1/report", body, (s, b, r) -> {}));
+          }
+        });
+  }
+}
