--- a/src/test/java/io/tansystack/sim/GapTest.java
+++ b/src/test/java/io/tansystack/sim/GapTest.java
@@ -10,9 +10,9 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * The gap: the state service refuses one controller alone; others confirm cancellations to users; then
@@ -173,18 +173,24 @@
   }
 
   /**
-   * A machine whose reports are heard and answered, while no direct command reaches it. Its lease is
-   * renewed by its owner, so what was cancelled there would go on as long as nobody gets through to it.
+   * Machines whose reports are heard and answered, while no direct command reaches them. Their leases are
+   * renewed by their owner, so what was cancelled there would go on as long as nobody gets through to them.
+   * One that hears of the cancellation late, since it alone was refused, must not take it for a new one.
    */
-  @Test
-  void cancelledWorkThatNoCommandReachesIsLeftToItsLease() throws Exception {
+  @ParameterizedTest
+  @ValueSource(ints = {0, 8, 14})
+  void cancelledWorkThatNoCommandReachesIsLeftToItsLease(int refusedFor) throws Exception {
     running(18, 43, 20);
     uncommanded.addAll(workers.keySet());
+    int owner = ownerOfMost();
+    refused = refusedFor > 0 ? owner : -1;
     for (int i = 0; i < 10; i++) {
-      users.cancel(id(i), Users.ANY);
+      users.cancel(id(i), (owner + 1) % controllerCount);
     }
+    loop.runFor(Duration.ofSeconds(refusedFor));
+    refused = -1;
     loop.runFor(Duration.ofSeconds(50));
-    inTime("commands lost");
+    inTime("commands lost, refused for " + refusedFor + " s");
     uncommanded.clear();
     users.calm();
     loop.runFor(Duration.ofSeconds(100));
