--- a/src/test/java/io/tansystack/sim/DrawnDay.java
+++ b/src/test/java/io/tansystack/sim/DrawnDay.java
@@ -135,7 +135,7 @@
     int tasks = 1 + random.nextInt(4);
     users.submit(
         new JobSpec(
-            String.format("wk-%06d", jobs++), "c", "vision", Shape.ARRAY,
+            String.format("wk-%06d", jobs++), "c", "vision", random.nextInt(4) == 0 ? Shape.GANG : Shape.ARRAY,
             Priority.values()[random.nextInt(Priority.values().length)], tasks, 1, 0, 1,
             "img" + random.nextInt(3), 1, null, zone, together, spread, false, 20,
             random.nextInt(2) * 5, 2, null),
--- a/src/test/java/io/tansystack/sim/MeetingsTest.java
+++ b/src/test/java/io/tansystack/sim/MeetingsTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.tansystack.settings.SettingsTest;
+import io.tansystack.wire.JobSpec;
+import io.tansystack.wire.Priority;
+import io.tansystack.wire.Shape;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -246,15 +249,27 @@
     assertTrue(users.judge().lastOfCancelled.compareTo(Duration.ofSeconds(61)) <= 0);
   }
 
-  /** Of two or three tasks one ends before, one while and one long after their leader changes. */
+  private static JobSpec gang(String id, int tasks) {
+    return new JobSpec(
+        id, "c", "vision", Shape.GANG, Priority.NORMAL, tasks, 1, 0, 1, "img", 1, null, null, false, false, false,
+        20, 0, 0, null);
+  }
+
+  /**
+   * Of two or three tasks one ends before, one while and one long after their leader changes; gangs of as
+   * many gather, run and end meanwhile.
+   */
   @ParameterizedTest
   @CsvSource({"ends", "back at once", "refused", "apart", "frozen", "all end", "silent"})
   void tasksThatEndFarApartAcrossAChangeOfLeader(String change) throws Exception {
     random = new Random(change.hashCode());
     farApart = true;
     run = Duration.ofSeconds(12);
-    running(3, 14, 10, 3);
+    running(3, 18, 10, 3);
     work(6, 2);
+    for (int i = 0; i < 5; i++) {
+      users.submit(gang(id(jobs++), 2 + i % 2), Users.ANY);
+    }
     loop.runFor(Duration.ofSeconds(3));
     for (int round = 0; round < 3; round++) {
       int leader = holder("ts/fleet");
--- a/src/test/java/io/tansystack/sim/SimNetwork.java
+++ b/src/test/java/io/tansystack/sim/SimNetwork.java
@@ -48,6 +48,8 @@
 
   final StandInCloud cloud = new StandInCloud(this);
 
+  final StandInGangs gangs = new StandInGangs(this);
+
   /** Where machines can be rented; the controllers are in the zone "a". */
   List<String> zones = List.of("a");
 
--- a/src/test/java/io/tansystack/sim/StandInWorker.java
+++ b/src/test/java/io/tansystack/sim/StandInWorker.java
@@ -142,6 +142,11 @@
   }
 
   private void run(TaskId task, long attempt, String key) {
+    if (network.gangs.isGang(task.job())) {
+      tasks.put(key, new TaskReport(task, attempt, State.WAITING, null, false));
+      network.gangs.arrived(this, key, task.job(), task.index(), attempt);
+      return;
+    }
     tasks.put(key, new TaskReport(task, attempt, State.RUNNING, null, false));
     later(network.runOf(task.toString()), key, State.RUNNING, () -> {
       network.completed.add(task.toString());
@@ -173,7 +178,19 @@
     }
   }
 
-  private void end(String key, Cause cause) {
+  /** What the task is doing; null if the worker knows nothing of it. */
+  State stateOf(String key) {
+    TaskReport task = dead ? null : tasks.get(key);
+    return task == null ? null : task.state();
+  }
+
+  /** All tasks of its gang are there. */
+  void goesOn(String key) {
+    TaskReport t = tasks.get(key);
+    tasks.put(key, new TaskReport(t.task(), t.attempt(), State.RUNNING, null, false));
+  }
+
+  void end(String key, Cause cause) {
     TaskReport t = tasks.get(key);
     if (t != null && !t.exited()) {
       tasks.put(key, new TaskReport(t.task(), t.attempt(), State.EXITED, cause, false));
--- a/src/test/java/io/tansystack/sim/Users.java
+++ b/src/test/java/io/tansystack/sim/Users.java
@@ -4,6 +4,7 @@
 import io.tansystack.cli.Controller;
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.JobSpec;
+import io.tansystack.wire.Shape;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -82,6 +83,9 @@
   void submit(JobSpec spec, int at) {
     Told told = new Told(spec);
     jobs.put(spec.id(), told);
+    if (spec.shape() == Shape.GANG) {
+      cluster.gangs.sizes.put(spec.id(), spec.tasks());
+    }
     submitAgain(told, at);
   }
 
