What is left to its lease is first told to stop what was cancelled, under the new token

Change: such a machine gets its halts as direct commands under the new token, before it has shown it. Stopping what is unwanted is right at any time; starting and forgetting still wait for the token.

--- a/src/main/java/io/tansystack/workers/Orders.java
+++ b/src/main/java/io/tansystack/workers/Orders.java
@@ -116,6 +116,15 @@
     }
   }
 
+  /**
+   * Stops what is unwanted on a machine that has not shown the token. Nothing else may be asked of it before
+   * it has: what was sent under an earlier token could still be carried out. Stopping is right at any time.
+   */
+  void stop(OwnedMachine machine, long token) {
+    List<Command> halts = difference(machine).halts().stream().limit(MAX_COMMANDS).toList();
+    send(machine, token, machine.latest.session(), halts);
+  }
+
   private void send(OwnedMachine machine, long token, long session, List<Command> commands) {
     machine.ordersInFlight = true;
     commands.forEach(command -> sent.merge(command.op(), 1L, Long::sum));
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -366,10 +366,12 @@
     Squaring difference = shown && quiet ? orders.difference(machine) : null;
     List<View.Void> voids = difference == null ? List.of() : Orders.voids(difference);
     telling.tell(machine, token, voids, silences.of(machine, now), now);
-    if (difference != null
-        && machine.address != null
-        && now.compareTo(machine.quietUntil) >= 0) {
+    boolean reachable = quiet && machine.address != null && now.compareTo(machine.quietUntil) >= 0;
+    if (reachable && difference != null) {
       orders.tend(machine, difference, token, now);
+    } else if (reachable && machine.leftToItsLease) {
+      // It is not told the token in answer to its reports; what is cancelled there has to be stopped first.
+      orders.stop(machine, token);
     }
   }
 
--- a/src/test/java/io/tansystack/sim/GapTest.java
+++ b/src/test/java/io/tansystack/sim/GapTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -197,4 +198,27 @@
     assertEquals(Set.of(), users.judge().atTheEnd(ANSWERED));
     assertEquals("withdrawn", state(id(3)));
   }
+
+  /**
+   * The owner of most machines ends for good, and jobs are cancelled at once. Its machines are handed over
+   * when their leases have little time left, and longer after the cancellations than a machine with
+   * cancelled work is answered: that work is stopped first, by commands, and the other work there is kept.
+   */
+  @Test
+  void anOwnersEndAmidCancellationsCostsNoOtherWork() throws Exception {
+    running(36, 61, 60);
+    users.submit(spec(id(jobs++), 1), Users.ANY); // A sign of life, from which its workers' leases are reckoned.
+    loop.runFor(Duration.ofSeconds(1));
+    int owner = ownerOfMost();
+    kill(owner);
+    for (int i = 0; i < 24; i++) {
+      users.cancel(id(i), (owner + 1 + i % 3) % controllerCount);
+    }
+    loop.runFor(Duration.ofSeconds(60));
+    inTime("its owner ended");
+    assertEquals(0, workers.values().stream().mapToInt(worker -> worker.lost).sum(), "leases that ran out");
+    users.calm();
+    loop.runFor(Duration.ofSeconds(80));
+    assertEquals(Set.of(), users.judge().atTheEnd(ANSWERED));
+  }
 }
