--- a/src/main/java/io/tansystack/jobs/Lookup.java
+++ b/src/main/java/io/tansystack/jobs/Lookup.java
@@ -118,9 +118,15 @@
         });
   }
 
-  private static void take(String id, Change change, Found found) {
+  /**
+   * A read that took long tells of what stood when it was made. If the copy has seen the job's end since,
+   * its user may have been told of that by another controller, and must not hear less from this one.
+   */
+  private void take(String id, Change change, Found found) {
     try {
-      found.take(JobRecord.read(change.value()), change.version());
+      JobRecord record = JobRecord.read(change.value());
+      JobRecord.Phase phase = record.active() ? world.finalPhase(id) : null;
+      found.take(phase == null ? record : JobRecord.outcome(phase), change.version());
     } catch (BadInput e) {
       log.error("record of job={} is unreadable: {}", id, e.getMessage());
       found.unsure("the record is unreadable");
