--- a/src/test/java/io/tansystack/sim/MeetingsTest.java
+++ b/src/test/java/io/tansystack/sim/MeetingsTest.java
@@ -4,14 +4,18 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.tansystack.settings.SettingsTest;
+import io.tansystack.wire.Cbor;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.Priority;
 import io.tansystack.wire.Shape;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -164,6 +168,28 @@
     allIsWell(slowMs + " ms, " + outageS + " s");
   }
 
+  /**
+   * A job is submitted once more while another controller cancels it, and single reads take a second: what
+   * was read before the cancellation is answered after its confirmation, and the copy has shown that by then.
+   */
+  @Test
+  void whatIsReadSlowlyIsNoOlderThanTheCopy() throws Exception {
+    running(3, 14, 10, 2);
+    run = Duration.ofSeconds(90);
+    slowReads = Duration.ofSeconds(1);
+    List<String> answers = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      String id = id(i);
+      users.cancel(id, 0);
+      loop.after(Duration.ofMillis(900), () -> processes.get(1).run(() -> controllers.get(1).front(
+          "POST", "/v1/jobs", Cbor.encode(spec(id, 2).write()), (status, body, retry) -> answers.add(
+              (users.jobs.get(id).cancelled != null) + " " + status + " " + decode(body).path("Status").asText()))));
+    }
+    loop.runFor(Duration.ofSeconds(4));
+    assertEquals(Collections.nCopies(10, "true 200 withdrawn"), answers);
+    allIsWell("slow reads");
+  }
+
   /** There and back: the leader ends and is back within the time, so does the next one, then all but one. */
   @ParameterizedTest
   @CsvSource({"30, 0", "300, 0", "900, 0.3", "1500, 0", "3000, 0.3", "9000, 0.2", "20000, 0"})
--- a/src/test/java/io/tansystack/sim/SimTroubles.java
+++ b/src/test/java/io/tansystack/sim/SimTroubles.java
@@ -53,6 +53,9 @@
   /** The longest time by which a request to the state service and its answer are held up each. */
   Duration storeSlow = Duration.ZERO;
 
+  /** By how much longer answers to reads of single keys take, while all else is quick. */
+  Duration slowReads = Duration.ZERO;
+
   /** Workers that no direct command reaches, while their reports and the answers to these do. */
   final Set<String> uncommanded = new HashSet<>();
 
@@ -77,6 +80,7 @@
     trouble = 0;
     lateWrites = 0;
     storeSlow = Duration.ZERO;
+    slowReads = Duration.ZERO;
     uncommanded.clear();
     held = 0;
   }
