--- a/src/test/java/io/tansystack/sim/SimCluster.java
+++ b/src/test/java/io/tansystack/sim/SimCluster.java
@@ -43,6 +43,27 @@
     }
   }
 
+  /** Which controller holds a slot or the fleet. */
+  int holder(String key) {
+    return Integer.parseInt(store.values.get(key).get("label").asText().substring(2));
+  }
+
+  /** Its process starts after a while, unless it is there by then. */
+  void bootIn(int index, Duration in) {
+    loop.after(in, () -> bootIfAway(index));
+  }
+
+  void bootIfAway(int index) {
+    if (controllers.containsKey(index)) {
+      return;
+    }
+    try {
+      boot(index);
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   int call(String method, String path, byte[] body, ObjectNode[] into) {
     int[] status = {0};
     for (Map.Entry<Integer, Controller> entry : new TreeMap<>(controllers).entrySet()) {
