The usable part of a lease is worked out once; the judge alone says when a job is forgotten

OwnLease worked out the usable part of its life twice for every report; Cancelled searched a report's list before it asked whether anything was due; the 75 s of a forgotten job stood in five test classes. Change: a field; the cheap question first; Judge has the bound. No check, bound or assertion changed.

--- a/src/main/java/io/tansystack/cluster/OwnLease.java
+++ b/src/main/java/io/tansystack/cluster/OwnLease.java
@@ -29,6 +29,10 @@
   private final String boot;
   private final String zone;
   private final Duration life;
+
+  /** So much of it is used; the rest is kept for drift, and for a stall between a check and its use. */
+  private final Duration usable;
+
   private final Duration recordLife;
   private final Watcher watcher;
   private final StallDetector stall;
@@ -53,6 +57,7 @@
     this.boot = boot;
     this.zone = zone;
     this.life = life;
+    this.usable = Duration.ofNanos((long) (life.toNanos() * (1 - DRIFT))).minus(MARGIN);
     this.recordLife = recordLife;
     this.watcher = watcher;
     this.stall = stall;
@@ -178,7 +183,6 @@
 
   /** Whether so little time has passed since the moment that a worker may still be answered in spite of it. */
   public boolean within(Duration since) {
-    Duration usable = Duration.ofNanos((long) (life.toNanos() * (1 - DRIFT))).minus(MARGIN);
     return loop.now().minus(since).compareTo(usable) < 0;
   }
 }
--- a/src/main/java/io/tansystack/workers/Cancelled.java
+++ b/src/main/java/io/tansystack/workers/Cancelled.java
@@ -67,9 +67,9 @@
       // A later session than the placement's proves that it is over.
       left |=
           at != null
+              && !lease.within(at)
               && placement.session() == report.session()
-              && (!quiet || lists(report, placed.id(), placement.attempt()))
-              && !lease.within(at);
+              && (!quiet || lists(report, placed.id(), placement.attempt()));
     }
     if (left && !machine.leftToItsLease) {
       log.warn("machine={} is left to its lease: what was cancelled there can't be stopped", machine.name);
--- a/src/test/java/io/tansystack/sim/DrawnDay.java
+++ b/src/test/java/io/tansystack/sim/DrawnDay.java
@@ -16,7 +16,6 @@
  * happens follows from a seed alone; a trouble can be left out without changing when the others come.
  */
 final class DrawnDay extends SimCluster {
-  private static final Duration ANSWERED = Duration.ofSeconds(75);
   private static final Duration CALM = Duration.ofSeconds(280);
 
   /** What may happen. */
@@ -119,7 +118,7 @@
     loop.runFor(Duration.ofSeconds(13)); // What is still carried out late has come.
     users.calm();
     loop.runFor(CALM);
-    Set<String> broken = new LinkedHashSet<>(users.judge().atTheEnd(ANSWERED));
+    Set<String> broken = new LinkedHashSet<>(users.judge().atTheEnd());
     users.jobs.forEach((id, told) -> {
       if (told.cancelled == null && told.done == null) {
         broken.add("never over: " + id + " " + told.last);
@@ -207,16 +206,12 @@
         held = 0.4;
         heldFor = lasts;
       }
-      case LOSSES -> trouble(0.05);
+      case LOSSES -> this.trouble = 0.05;
       case DELETIONS_LATE -> deletionsLate = Duration.ofMillis(trouble.draw * 8);
       default -> some(trouble).forEach(worker -> uncommanded.add(worker.name));
     }
   }
 
-  private void trouble(double share) {
-    trouble = share;
-  }
-
   private void end(Trouble trouble) {
     switch (trouble.kind) {
       case OUTAGE -> outage = false;
@@ -231,7 +226,7 @@
       case UNHEARING -> unhearing.clear();
       case COPIES -> copies = 0;
       case HELD -> held = 0;
-      case LOSSES -> trouble(0);
+      case LOSSES -> this.trouble = 0;
       case DELETIONS_LATE -> deletionsLate = Duration.ZERO;
       case UNCOMMANDED -> uncommanded.clear();
       default -> { }
--- a/src/test/java/io/tansystack/sim/GapTest.java
+++ b/src/test/java/io/tansystack/sim/GapTest.java
@@ -21,8 +21,6 @@
  * cancelled is gone within {@code cancel_s} of the answer to its user all the same.
  */
 class GapTest extends SimCluster {
-  private static final Duration ANSWERED = Duration.ofSeconds(75);
-
   private Users users;
   private int jobs;
 
@@ -128,7 +126,7 @@
     loop.runFor(Duration.ofSeconds(10));
     users.calm();
     loop.runFor(Duration.ofSeconds(130));
-    assertEquals(Set.of(), users.judge().atTheEnd(ANSWERED));
+    assertEquals(Set.of(), users.judge().atTheEnd());
     inTime(whom + " " + outageS);
   }
 
@@ -165,7 +163,7 @@
     all.forEach(worker -> worker.noticeS = null);
     users.calm();
     loop.runFor(Duration.ofSeconds(130));
-    assertEquals(Set.of(), users.judge().atTheEnd(ANSWERED));
+    assertEquals(Set.of(), users.judge().atTheEnd());
     inTime(state);
   }
 
@@ -191,7 +189,7 @@
     uncommanded.clear();
     users.calm();
     loop.runFor(Duration.ofSeconds(100));
-    assertEquals(Set.of(), users.judge().atTheEnd(ANSWERED));
+    assertEquals(Set.of(), users.judge().atTheEnd());
     assertEquals("withdrawn", state(id(3)));
   }
 
@@ -215,6 +213,6 @@
     assertEquals(0, workers.values().stream().mapToInt(worker -> worker.lost).sum(), "leases that ran out");
     users.calm();
     loop.runFor(Duration.ofSeconds(80));
-    assertEquals(Set.of(), users.judge().atTheEnd(ANSWERED));
+    assertEquals(Set.of(), users.judge().atTheEnd());
   }
 }
--- a/src/test/java/io/tansystack/sim/HalfHeardTest.java
+++ b/src/test/java/io/tansystack/sim/HalfHeardTest.java
@@ -23,8 +23,6 @@
  * nothing else, and processes that are back before anybody noticed. Nothing accepted is forgotten.
  */
 class HalfHeardTest extends SimCluster {
-  private static final Duration ANSWERED = Duration.ofSeconds(75);
-
   private final Users users = new Users(this);
   private int jobs;
 
@@ -50,7 +48,7 @@
     loop.runFor(Duration.ofSeconds(300));
     check();
     assertEquals(Set.of(), broken, what);
-    assertEquals(Set.of(), users.judge().atTheEnd(ANSWERED), what);
+    assertEquals(Set.of(), users.judge().atTheEnd(), what);
     for (int j = 0; j < jobs; j++) {
       assertEquals("done", state(String.format("wk-%06d", j)), what + " job " + j);
     }
--- a/src/test/java/io/tansystack/sim/Judge.java
+++ b/src/test/java/io/tansystack/sim/Judge.java
@@ -15,6 +15,9 @@
  * code with the service.
  */
 final class Judge {
+  /** A job about which no question is answered for so long, once all troubles are over, is forgotten. */
+  private static final Duration ANSWERED = Duration.ofSeconds(75);
+
   private static final Duration EVERY = Duration.ofMillis(200);
 
   private final SimCluster cluster;
@@ -133,9 +136,9 @@
   }
 
   /** What is judged at the end, once all troubles have been over for long. */
-  Set<String> atTheEnd(Duration longestWait) {
+  Set<String> atTheEnd() {
     users.waits().forEach((id, wait) -> {
-      if (wait.compareTo(longestWait) > 0) {
+      if (wait.compareTo(ANSWERED) > 0) {
         broken.add("forgotten " + id + ": no answer for " + wait.toSeconds() + " s");
       }
     });
--- a/src/test/java/io/tansystack/sim/JudgeTest.java
+++ b/src/test/java/io/tansystack/sim/JudgeTest.java
@@ -135,7 +135,7 @@
     plant(breach);
     judge.look();
     if (breach.startsWith("forgotten s") || breach.equals("nothing_ran")) {
-      judge.atTheEnd(Duration.ofSeconds(75));
+      judge.atTheEnd();
     }
     String rule = breach.split(" ")[0];
     assertTrue(judge.broken.stream().anyMatch(b -> b.startsWith(rule)), breach + ": " + judge.broken);
--- a/src/test/java/io/tansystack/sim/MeetingsTest.java
+++ b/src/test/java/io/tansystack/sim/MeetingsTest.java
@@ -24,8 +24,6 @@
  * most, docs/meetings.md tells which test causes what. {@link Judge} sees the whole history.
  */
 class MeetingsTest extends SimCluster {
-  private static final Duration ANSWERED = Duration.ofSeconds(75);
-
   private Users users;
   private int jobs;
 
@@ -73,7 +71,7 @@
     calm();
     users.calm();
     loop.runFor(Duration.ofSeconds(300));
-    assertEquals(Set.of(), users.judge().atTheEnd(ANSWERED), what);
+    assertEquals(Set.of(), users.judge().atTheEnd(), what);
     users.jobs.forEach(
         (id, told) -> {
           assertTrue(told.over(), what + " " + id + ": " + told.last);
