Cancelled work is counted from its cancellation by starts in a row too

Cause: a controller that has just started counted cancelled work from its own first reading of the records. Starts in a row, each sooner than life, with commands that reach no machine while reports do, gave it another life each time and kept it alive for ever.

Change: the job's record holds the time of day at which the cancellation was sent to the state service; cluster.TimeOfDay turns it into steady time once, with skew_ms of doubt on both sides. skew_ms is read from the settings.

Measured: GapTest.startsInARowGiveCancelledWorkNoMoreTime, five rows, red before and green after (simulated cluster). An end of all amid cancellations costs no other work (three rows).

--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -5,6 +5,7 @@
 import io.tansystack.cluster.SlotDuty;
 import io.tansystack.cluster.StallDetector;
 import io.tansystack.cluster.Sweep;
+import io.tansystack.cluster.TimeOfDay;
 import io.tansystack.cluster.Touched;
 import io.tansystack.cluster.World;
 import io.tansystack.fleet.FleetDuty;
@@ -165,6 +166,7 @@
             peers::unfitForWorkers,
             recovery,
             watcher::completeBefore,
+            new TimeOfDay(loop, clock, settings.skew()),
             types::get,
             views::get,
             this::viewOfOwn);
--- a/src/main/java/io/tansystack/jobs/UserApi.java
+++ b/src/main/java/io/tansystack/jobs/UserApi.java
@@ -37,6 +37,7 @@
   private final Loop loop;
   private final StoreClient store;
   private final World world;
+  private final InstantSource clock;
   private final BooleanSupplier storeAnswers;
   private final Lookup lookup;
   private final Submissions submissions;
@@ -56,6 +57,7 @@
     this.loop = loop;
     this.store = store;
     this.world = world;
+    this.clock = clock;
     this.storeAnswers = storeAnswers;
     this.lookup = new Lookup(loop, store, world, confirm);
     this.submissions =
@@ -207,7 +209,7 @@
     String key = World.jobKey(id);
     store.commitUrgent(
         World.unchanged(id, version),
-        List.of(new Write(key, record.cancelled().write(), 0)),
+        List.of(new Write(key, record.cancelled(clock.millis()).write(), 0)),
         CANCEL_WAIT,
         (result, revision) -> {
           switch (result) {
--- a/src/main/java/io/tansystack/records/JobRecord.java
+++ b/src/main/java/io/tansystack/records/JobRecord.java
@@ -20,6 +20,9 @@
  * A job as the state service keeps it. Every change is a pure function of the record and of proofs,
  * so that a compare-and-set on its version is enough to keep it right, whoever writes it. A job that
  * is over and has no placement left keeps its outcome alone ({@code spec} null).
+ *
+ * @param cancelledMs the time of day at which whoever cancelled it sent that to the state service; 0 if it
+ *     wasn't cancelled, or nobody said when
  */
 public record JobRecord(
     JobSpec spec,
@@ -27,7 +30,8 @@
     Phase phase,
     TaskSet done,
     long attempt,
-    List<Placement> placements) {
+    List<Placement> placements,
+    long cancelledMs) {
 
   /** Where a job is in its life; the last two are for ever. */
   public enum Phase {
@@ -54,12 +58,16 @@
   public record Assignment(String machine, long session, TaskSet tasks) {}
 
   public static JobRecord created(JobSpec spec, long nowMs) {
-    return new JobRecord(spec, nowMs, Phase.ACTIVE, TaskSet.EMPTY, 0, List.of());
+    return new JobRecord(spec, nowMs, Phase.ACTIVE, TaskSet.EMPTY, 0, List.of(), 0);
   }
 
   /** What is left of a job that is over. */
   public static JobRecord outcome(Phase phase) {
-    return new JobRecord(null, 0, phase, TaskSet.EMPTY, 0, List.of());
+    return new JobRecord(null, 0, phase, TaskSet.EMPTY, 0, List.of(), 0);
+  }
+
+  private JobRecord with(List<Placement> placed) {
+    return new JobRecord(spec, submittedMs, phase, done, attempt, List.copyOf(placed), cancelledMs);
   }
 
   public boolean active() {
@@ -71,15 +79,15 @@
     return active() && attempt == 0;
   }
 
-  public JobRecord cancelled() {
-    return new JobRecord(spec, submittedMs, Phase.CANCELLED, done, attempt, placements).shrunk();
+  public JobRecord cancelled(long nowMs) {
+    return new JobRecord(spec, submittedMs, Phase.CANCELLED, done, attempt, placements, nowMs).shrunk();
   }
 
   private JobRecord shrunk() {
     if (active() || !placements.isEmpty()) {
       return this;
     }
-    return new JobRecord(null, submittedMs, phase, TaskSet.EMPTY, 0, List.of());
+    return new JobRecord(null, submittedMs, phase, TaskSet.EMPTY, 0, List.of(), 0);
   }
 
   /** Adds a round of placements under the next attempt number. */
@@ -88,7 +96,7 @@
     for (Assignment part : round) {
       next.add(new Placement(part.machine, part.session, attempt + 1, part.tasks, false));
     }
-    return new JobRecord(spec, submittedMs, phase, done, attempt + 1, List.copyOf(next));
+    return new JobRecord(spec, submittedMs, phase, done, attempt + 1, List.copyOf(next), cancelledMs);
   }
 
   /** Marks tasks as no longer wanted where they are. */
@@ -108,7 +116,7 @@
       }
       next.add(new Placement(p.machine(), p.session(), p.attempt(), TaskSet.of(hit), true));
     }
-    return new JobRecord(spec, submittedMs, phase, done, attempt, List.copyOf(next));
+    return with(next);
   }
 
   /** Marks every placement as no longer wanted: a gang lives or ends as a whole. */
@@ -167,7 +175,8 @@
       next = Phase.DONE;
     }
     JobRecord result =
-        new JobRecord(spec, submittedMs, next, TaskSet.of(nowDone), attempt, List.copyOf(left));
+        new JobRecord(
+            spec, submittedMs, next, TaskSet.of(nowDone), attempt, List.copyOf(left), cancelledMs);
     if (gangBroken && result.active()) {
       result = result.allStopped();
     }
@@ -239,7 +248,7 @@
       if (phase == Phase.ACTIVE) {
         throw new BadInput("spec: missing");
       }
-      return new JobRecord(null, at, phase, TaskSet.EMPTY, 0, List.of());
+      return new JobRecord(null, at, phase, TaskSet.EMPTY, 0, List.of(), 0);
     }
     List<Placement> placements = new ArrayList<>();
     for (JsonNode node : Read.list(map, "placed")) {
@@ -251,7 +260,8 @@
         phase,
         Placement.tasks(map, "done"),
         Read.integer(map, "attempt"),
-        List.copyOf(placements));
+        List.copyOf(placements),
+        Read.has(map, "cancelledAt") ? Read.integer(map, "cancelledAt") : 0);
   }
 
   public ObjectNode write() {
@@ -260,6 +270,9 @@
     if (spec != null) {
       map.set("spec", spec.write());
       map.put("done", done.toString()).put("attempt", attempt);
+      if (cancelledMs > 0) {
+        map.put("cancelledAt", cancelledMs);
+      }
       ArrayNode list = map.putArray("placed");
       placements.forEach(p -> list.add(p.write()));
     }
--- a/src/main/java/io/tansystack/settings/PlatformSettings.java
+++ b/src/main/java/io/tansystack/settings/PlatformSettings.java
@@ -8,7 +8,11 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** The file that the platform hands over. Keys that are not known here are ignored. */
+/**
+ * The file that the platform hands over. Keys that are not known here are ignored.
+ *
+ * @param skew by how much any process's time of day may be wrong, either way
+ */
 public record PlatformSettings(
     String label,
     String zone,
@@ -19,6 +23,7 @@
     InetSocketAddress state,
     int size,
     List<String> zones,
+    Duration skew,
     List<Team> teams,
     List<Objective> objectives,
     Workers workers,
@@ -30,6 +35,9 @@
   private static final double HUGE = 1e9;
   private static final double SHORTEST_S = 0.001;
 
+  /** Where nobody says by how much times of day may be wrong. */
+  private static final double SKEW_MS = 1000;
+
   /** Another controller. */
   public record Peer(String label, String zone, InetSocketAddress address) {}
 
@@ -102,6 +110,7 @@
         services.address("state"),
         cluster.integerOr("size", peers.size() + 1, 1, 1000),
         cluster.texts("zones"),
+        Duration.ofNanos(Math.round(cluster.numberOr("skew_ms", SKEW_MS, 0, HUGE) * 1e6)),
         List.copyOf(teams),
         List.copyOf(objectives),
         new Workers(
--- a/src/main/java/io/tansystack/workers/Cancelled.java
+++ b/src/main/java/io/tansystack/workers/Cancelled.java
@@ -2,6 +2,7 @@
 
 import io.tansystack.cluster.OwnLease;
 import io.tansystack.cluster.PlacementIndex.Placed;
+import io.tansystack.cluster.TimeOfDay;
 import io.tansystack.cluster.Touched;
 import io.tansystack.cluster.World.Job;
 import io.tansystack.cluster.World;
@@ -23,6 +24,12 @@
  * that may have such work when {@code life} has passed since the copy of the records can last have been
  * without the cancellation. With that the sum that bounds cancelled work holds whether or not the owner
  * has heard of the cancellation, and however its commands fare: {@code life + lease_s}.
+ *
+ * <p>A process that has just started had no copy before, and would count from its own first reading: starts
+ * in a row, each sooner than {@code life}, would give cancelled work as much again every time. So the record
+ * says at which time of day the cancellation was sent to the state service, which was before its user was
+ * told. Both clocks may be wrong by {@code skew}, and one may have been wrong the other way, so it is only
+ * taken for as old as it must be; what proves that it is older counts.
  */
 final class Cancelled {
   private static final Logger log = LoggerFactory.getLogger(Cancelled.class);
@@ -30,13 +37,15 @@
   private final World world;
   private final OwnLease lease;
   private final Supplier<Duration> unknownUntil;
+  private final TimeOfDay timeOfDay;
   private final Map<String, Duration> since = new HashMap<>();
 
   /** @param unknownUntil the latest moment at which nobody can have committed what the copy has just shown */
-  Cancelled(World world, OwnLease lease, Supplier<Duration> unknownUntil) {
+  Cancelled(World world, OwnLease lease, Supplier<Duration> unknownUntil, TimeOfDay timeOfDay) {
     this.world = world;
     this.lease = lease;
     this.unknownUntil = unknownUntil;
+    this.timeOfDay = timeOfDay;
   }
 
   /** The records of these jobs have changed. */
@@ -46,11 +55,18 @@
       if (job == null || job.record().phase() != Phase.CANCELLED) {
         since.remove(id);
       } else {
-        since.putIfAbsent(id, unknownUntil.get());
+        since.computeIfAbsent(id, k -> sentBy(job.record().cancelledMs()));
       }
     }
   }
 
+  /** Turned into steady time once: a time of day that is set anew later must not move it. */
+  private Duration sentBy(long cancelledMs) {
+    Duration unknown = unknownUntil.get();
+    Duration sent = cancelledMs > 0 ? timeOfDay.latest(cancelledMs) : unknown;
+    return sent.compareTo(unknown) < 0 ? sent : unknown;
+  }
+
   /**
    * Whether the report must not be answered, so that the machine's lease runs out.
    *
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.Sets;
 import io.tansystack.cluster.MachineRecord;
 import io.tansystack.cluster.OwnLease;
+import io.tansystack.cluster.TimeOfDay;
 import io.tansystack.cluster.Touched;
 import io.tansystack.cluster.World.Job;
 import io.tansystack.cluster.World;
@@ -85,11 +86,12 @@
       Predicate<String> unfit,
       Recovery recovery,
       Supplier<Duration> unknownUntil,
+      TimeOfDay timeOfDay,
       Function<String, MachineType> types,
       Function<String, View> views,
       Consumer<View> publish) {
     this.loop = loop;
-    this.cancelled = new Cancelled(world, lease, unknownUntil);
+    this.cancelled = new Cancelled(world, lease, unknownUntil, timeOfDay);
     this.world = world;
     this.lease = lease;
     this.label = label;
--- a/src/test/java/io/tansystack/cluster/IntakesTest.java
+++ b/src/test/java/io/tansystack/cluster/IntakesTest.java
@@ -43,7 +43,7 @@
           case "own" -> record.write();
           case "put" ->
               record.placed(List.of(new JobRecord.Assignment("n-1", 1, TaskSet.range(0, 1)))).write();
-          case "end" -> record.cancelled().write();
+          case "end" -> record.cancelled(1).write();
           default -> World.intake(List.of(record));
         };
     return switch (text.substring(0, 3)) {
--- a/src/test/java/io/tansystack/records/JobRecordTest.java
+++ b/src/test/java/io/tansystack/records/JobRecordTest.java
@@ -96,7 +96,7 @@
 
   @Test
   void cancelledStaysCancelledAndKeepsPlacementsUntilProof() {
-    JobRecord record = placed(Shape.ARRAY, 1).cancelled();
+    JobRecord record = placed(Shape.ARRAY, 1).cancelled(1);
     assertEquals(1, record.placedCount());
     record = record.absorbed(List.of(new Over(0, 1, "n-1", true)));
     assertEquals(JobState.CANCELLED, record.state());
@@ -125,6 +125,8 @@
       JobRecord record = placed(shape, 4).stopped("n-1", TaskSet.parse("1-2"));
       byte[] stored = Cbor.encode(record.write());
       assertEquals(record, JobRecord.read(Cbor.decodeMap(stored)));
+      JobRecord over = record.cancelled(1_764_650_000_000L);
+      assertEquals(over, JobRecord.read(Cbor.decodeMap(Cbor.encode(over.write()))));
     }
   }
 
@@ -149,7 +151,7 @@
     BitSet prefix = new BitSet();
     prefix.set(0, from);
     JobRecord record =
-        new JobRecord(spec, Long.MAX_VALUE / 2, Phase.ACTIVE, TaskSet.of(prefix), 99_999, List.of());
+        new JobRecord(spec, Long.MAX_VALUE / 2, Phase.ACTIVE, TaskSet.of(prefix), 99_999, List.of(), 0);
     int machines = limit.placedAtOnce(spec);
     List<Assignment> round = new ArrayList<>();
     for (int m = 0; m < machines; m++) {
@@ -182,5 +184,6 @@
       }
     }
     assertTrue(record.placements().size() > machines, "some were split");
+    assertTrue(Cbor.jsonSize(record.cancelled(Long.MAX_VALUE / 2).write()) <= valueBytes, "cancelled");
   }
 }
--- a/src/test/java/io/tansystack/recovery/SquaringTest.java
+++ b/src/test/java/io/tansystack/recovery/SquaringTest.java
@@ -41,7 +41,7 @@
     return switch (said) {
       case "wanted" -> placed;
       case "stop" -> placed.stopped(M, TaskSet.range(0, 1));
-      case "cancelled" -> placed.cancelled();
+      case "cancelled" -> placed.cancelled(1);
       case "absent" -> created;
       default -> throw new IllegalArgumentException(said);
     };
--- a/src/test/java/io/tansystack/settings/SettingsTest.java
+++ b/src/test/java/io/tansystack/settings/SettingsTest.java
@@ -56,6 +56,7 @@
   void readsTheFormAndIgnoresWhatItDoesNotKnow() throws Exception {
     PlatformSettings settings = PlatformSettings.parse(GOOD);
     assertEquals(Duration.ofSeconds(36), settings.workers().lease());
+    assertEquals(Duration.ofMillis(250), settings.skew());
     assertEquals(8, settings.team("vision").gpusMax());
     assertEquals(16384, settings.store().valueBytes());
   }
@@ -70,6 +71,7 @@
         "lease_s = 36.0|lease_s = -1.0|cluster.workers.lease_s",
         "lease_s = 36.0|lease_s = \"x\"|cluster.workers.lease_s",
         "write_rps = 200.0||cluster.state.write_rps",
+        "skew_ms = 250.0|skew_ms = -1.0|cluster.skew_ms",
         "txn_ops = 16|txn_ops = 1.5|cluster.state.txn_ops",
         "gpus = 4.0|gpus = true|cluster.teams[0].gpus"
       })
--- a/src/test/java/io/tansystack/sim/GapTest.java
+++ b/src/test/java/io/tansystack/sim/GapTest.java
@@ -193,6 +193,39 @@
     assertEquals("withdrawn", state(id(3)));
   }
 
+  /**
+   * Controllers start anew ten times and more, always before they would stop answering by themselves, while
+   * no direct command reaches a machine and reports do. A start must not count cancelled work from its own
+   * first reading: each would give it another {@code life}. Clocks are off by as much as the settings allow.
+   */
+  @ParameterizedTest
+  @CsvSource({"all, 9, 18, 43", "all, 14, 36, 61", "in turn, 3, 18, 43", "in turn, 5, 36, 61", "leader, 8, 36, 61"})
+  void startsInARowGiveCancelledWorkNoMoreTime(String who, int everyS, double lease, double cancel)
+      throws Exception {
+    random = new Random(everyS);
+    clockOff = Duration.ofMillis(250);
+    running(lease, cancel, 30);
+    uncommanded.addAll(workers.keySet());
+    for (int i = 0; i < 12; i++) {
+      users.cancel(id(i), i % controllerCount);
+    }
+    loop.runFor(Duration.ofSeconds(1));
+    for (int round = 0; round * everyS < cancel * 2; round++) {
+      for (int i = 0; i < controllerCount; i++) {
+        if (who.equals("all") || i == (who.equals("leader") ? holder("ts/fleet") : round % controllerCount)) {
+          kill(i);
+          bootIn(i, Duration.ofMillis(100 + 200L * i));
+        }
+      }
+      loop.runFor(Duration.ofSeconds(everyS));
+    }
+    inTime(who + " every " + everyS + " s");
+    uncommanded.clear();
+    users.calm();
+    loop.runFor(Duration.ofSeconds(130));
+    assertEquals(Set.of(), users.judge().atTheEnd());
+  }
+
   /**
    * The owner of most machines ends for good, and jobs are cancelled at once. Its machines are handed over
    * when their leases have little time left, and longer after the cancellations than a machine with
@@ -215,4 +248,30 @@
     loop.runFor(Duration.ofSeconds(80));
     assertEquals(Set.of(), users.judge().atTheEnd());
   }
+
+  /**
+   * All controllers end and are back when the cancellations are older than a machine with cancelled work is
+   * answered, and the machines' leases have little time left: what was cancelled is stopped first.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {12, 19, 24})
+  void anEndOfAllAmidCancellationsCostsNoOtherWork(int awayS) throws Exception {
+    running(36, 61, 60);
+    uncommanded.addAll(workers.keySet()); // Confirmed, and none of it stopped yet.
+    for (int i = 0; i < 24; i++) {
+      users.cancel(id(i), i % controllerCount);
+    }
+    loop.runFor(Duration.ofMillis(40));
+    uncommanded.clear();
+    for (int i = 0; i < controllerCount; i++) {
+      kill(i);
+      bootIn(i, Duration.ofSeconds(awayS).plusMillis(300L * i));
+    }
+    loop.runFor(Duration.ofSeconds(70));
+    inTime("all away for " + awayS + " s");
+    assertEquals(0, workers.values().stream().mapToInt(worker -> worker.lost).sum(), "leases that ran out");
+    users.calm();
+    loop.runFor(Duration.ofSeconds(80));
+    assertEquals(Set.of(), users.judge().atTheEnd());
+  }
 }
--- a/src/test/java/io/tansystack/sim/SimNetwork.java
+++ b/src/test/java/io/tansystack/sim/SimNetwork.java
@@ -101,13 +101,14 @@
 
   void boot(int index) throws Exception {
     SimLoop.Mortal process = loop.process();
+    long wrongMs = clockOff.isZero() ? 0 : random.nextLong(-clockOff.toMillis(), clockOff.toMillis() + 1);
     Controller controller =
         new Controller(
             process,
             caller(process, index),
             settings(index),
             OperatorSettings.defaults(),
-            () -> Instant.ofEpochMilli(loop.now().toMillis()),
+            () -> Instant.ofEpochMilli(loop.now().toMillis() + wrongMs),
             new Random(random.nextLong()));
     processes.put(index, process);
     controllers.put(index, controller);
--- a/src/test/java/io/tansystack/sim/SimTroubles.java
+++ b/src/test/java/io/tansystack/sim/SimTroubles.java
@@ -41,6 +41,9 @@
 
   final Set<String> deletions = new HashSet<>();
 
+  /** By how much the time of day of a controller may be wrong, either way; each start draws its own. */
+  Duration clockOff = Duration.ZERO;
+
   /** How often an exchange goes wrong. */
   double trouble;
 
--- a/src/test/java/io/tansystack/workers/ProofsTest.java
+++ b/src/test/java/io/tansystack/workers/ProofsTest.java
@@ -87,7 +87,7 @@
     for (int i = 0; i < 5; i++) {
       round.add(new Assignment("n-" + i, 2, TaskSet.range(i, i + 1)));
     }
-    record = record.placed(round).cancelled();
+    record = record.placed(round).cancelled(1);
     int rounds = 0;
     while (record.spec() != null && rounds++ < 10) {
       Proofs proofs =
