The judge looks at each event on a machine, at all teams, types, late starts and waits

The judge of the simulated cluster looked every 0.2 s, at the CPUs of one team, and not at types, spot machines, starts after a confirmed cancellation, who waits though there is room, or who of a class, team and size begins.

Change: judged after each event on a worker's machine; each team's CPUs and GPUs against its own limit; allowed types and spot at the start; late starts counted with their time; Served judges waits, beginnings and halves. An answer is judged by what any node had told when it was asked, 404 and 422 included; users look closely, repeat, and cancel at the end. The stand-ins learn answers lost, copies kept for the next leader, types, spot, quick boots, results kept.

--- a/src/test/java/io/tansystack/sim/Judge.java
+++ b/src/test/java/io/tansystack/sim/Judge.java
@@ -1,18 +1,27 @@
 package io.tansystack.sim;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import io.tansystack.sim.Users.Known;
 import io.tansystack.sim.Users.Told;
 import io.tansystack.wire.JobSpec;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
 /**
  * Judges a whole history by every rule of the protocol: what users were told, and what was on the
- * workers' machines at every fifth of a second. It sees the published interfaces only and shares no
- * code with the service.
+ * workers' machines after each event there and at every fifth of a second. It sees the published
+ * interfaces only and shares no code with the service; {@link Served} judges who is served.
  */
 final class Judge {
   /** A job about which no question is answered for so long, once all troubles are over, is forgotten. */
@@ -20,10 +29,20 @@
 
   private static final Duration EVERY = Duration.ofMillis(200);
 
+  /** What a team's tasks may use together; 0 stands for no limit. */
+  record Limit(double cpus, double gpus) {}
+
+  /** A task that started after its user had been told that its job is cancelled, and how long after. */
+  record LateStart(String task, String machine, Duration after) {}
+
   private final SimCluster cluster;
   private final Users users;
   private final Duration cancel;
-  private final double cpusMax;
+  private final Map<String, Limit> limits;
+  private final Served served;
+
+  /** Tasks that were there at the last look, each with machine, session and attempt. */
+  private Set<String> there = new HashSet<>();
 
   /** What was broken, each rule and job once. */
   final Set<String> broken = new LinkedHashSet<>();
@@ -31,16 +50,36 @@
   /** The longest time for which a task of a cancelled job was there after its user had been told. */
   Duration lastOfCancelled = Duration.ZERO;
 
+  /** Not a breach while they were under way before, but users count them. */
+  final List<LateStart> lateStarts = new ArrayList<>();
+
   Judge(SimCluster cluster, Users users) {
     this.cluster = cluster;
     this.users = users;
     this.cancel = Duration.ofMillis((long) (cluster.setting("cancel_s") * 1000));
-    this.cpusMax = cluster.setting("cpus_max");
+    this.limits = limits(cluster.settings);
+    this.served = new Served(cluster, users, limits);
+    cluster.onChange.add(this::look);
     watch();
   }
 
+  private static Map<String, Limit> limits(String settings) {
+    try {
+      Map<String, Limit> limits = new HashMap<>();
+      for (JsonNode team : new TomlMapper().readTree(settings).path("cluster").path("teams")) {
+        limits.put(
+            team.get("name").asText(),
+            new Limit(team.path("cpus_max").asDouble(), team.path("gpus_max").asDouble()));
+      }
+      return limits;
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   private void watch() {
     look();
+    served.look();
     cluster.loop.after(EVERY, this::watch);
   }
 
@@ -48,30 +87,57 @@
   void look() {
     Map<String, String> where = new HashMap<>();
     Map<String, Map<String, Integer>> zones = new HashMap<>();
-    double cpus = 0;
+    Map<String, double[]> used = new LinkedHashMap<>();
+    Set<String> now = new HashSet<>();
     for (StandInWorker worker : cluster.workers.values()) {
-      for (String task : worker.live()) {
+      for (String attempt : worker.attempts()) {
+        String task = attempt.substring(0, attempt.indexOf('#'));
         String other = where.put(task, worker.name);
         if (other != null) {
           broken.add("ran_twice " + task + " on " + other + " and " + worker.name);
         }
+        boolean starts = !there.contains(worker.name + " " + attempt);
+        now.add(worker.name + " " + attempt);
         Told told = users.jobs.get(task.substring(0, task.indexOf('/')));
         if (told == null) {
           continue;
         }
-        cpus += told.spec.cpus();
+        double[] team = used.computeIfAbsent(told.spec.team(), k -> new double[2]);
+        team[0] += told.spec.cpus();
+        team[1] += told.spec.gpus();
         zones.computeIfAbsent(told.spec.id(), k -> new HashMap<>()).merge(worker.zone, 1, Integer::sum);
+        if (starts) {
+          started(told, task, worker);
+        }
         if (told.cancelled != null) {
           stillThere(told, worker);
         }
       }
     }
-    if (cpusMax > 0 && cpus > cpusMax + 1e-6) {
-      broken.add("quota " + cpus + " of " + cpusMax);
-    }
+    there = now;
+    used.forEach(this::use);
     zones.forEach((id, counts) -> place(users.jobs.get(id).spec, counts));
   }
 
+  private void started(Told told, String task, StandInWorker worker) {
+    JobSpec spec = told.spec;
+    boolean allowedType = spec.types() == null || spec.types().contains(worker.type.name());
+    if (!allowedType || (worker.spot && !spec.spotOk())) {
+      broken.add("wrong_place " + task + " on " + worker.type.name() + (worker.spot ? ", which is spot" : ""));
+    }
+    if (told.cancelled != null) {
+      lateStarts.add(new LateStart(task, worker.name, cluster.loop.now().minus(told.cancelled)));
+    }
+    served.started(told);
+  }
+
+  private void use(String team, double[] used) {
+    Limit limit = limits.getOrDefault(team, new Limit(0, 0));
+    if ((limit.cpus > 0 && used[0] > limit.cpus + 1e-6) || (limit.gpus > 0 && used[1] > limit.gpus + 1e-6)) {
+      broken.add("quota " + team + " " + used[0] + " and " + used[1] + " of " + limit);
+    }
+  }
+
   private void stillThere(Told told, StandInWorker worker) {
     Duration since = cluster.loop.now().minus(told.cancelled);
     lastOfCancelled = since.compareTo(lastOfCancelled) > 0 ? since : lastOfCancelled;
@@ -89,10 +155,10 @@
     }
   }
 
-  /** A submission, which may be a repeated one, was not accepted. */
-  void refusedSubmission(Told told, int status) {
-    if (told.accepted != null && (status == 400 || status == 422)) {
-      broken.add("forgotten " + told.spec.id() + ": a repetition answered " + status);
+  /** A submission of a job that can't run, or lacks a field, was answered. */
+  void answeredImpossible(String id, int status) {
+    if (status == 200 || status == 201) {
+      broken.add("accepted " + id + " though it can't run");
     }
   }
 
@@ -104,21 +170,24 @@
 
   /**
    * An answer about a job, before the user takes it in. Two ends of a job contradict each other whenever they
-   * come. That a job goes on is older than its end; it is wrong in answer to a question that was asked after
-   * the user knew. Where both were under way at once it isn't: the one controller can't have heard yet what
-   * the other one is just saying.
+   * come. That a job goes on is older than its end, and that nobody knows it older than its acceptance; either
+   * is wrong in answer to a question that was asked after any answer, from whichever node, had told the user.
+   * Where both were under way at once it isn't: the one controller can't have heard yet what the other one is
+   * just saying.
+   *
+   * @param known what had been told when it was asked
    */
-  void answered(Told told, boolean overWhenAsked, int status, byte[] body) {
+  void answered(Told told, Known known, int status, byte[] body) {
     String id = told.spec.id();
-    if (status == 404 && told.accepted != null) {
-      broken.add("forgotten " + id + ": denied");
+    if (known.accepted() && (status == 404 || status == 400 || status == 422)) {
+      broken.add("forgotten " + id + ": answered " + status);
     }
     if (status != 200 && status != 201) {
       return;
     }
     ObjectNode map = SimNetwork.decode(body);
     String state = map.path("Status").asText();
-    boolean older = !Told.isOver(state) && overWhenAsked;
+    boolean older = !Told.isOver(state) && known.over();
     boolean other = Told.isOver(state) && told.over() && !state.equals(told.last);
     if (older || other) {
       broken.add("went_back " + id + " from " + told.last + " to " + state);
@@ -145,6 +214,7 @@
     if (cluster.started.isEmpty()) {
       broken.add("nothing_ran");
     }
+    broken.addAll(served.atTheEnd());
     return broken;
   }
 }
--- a/src/test/java/io/tansystack/sim/JudgeTest.java
+++ b/src/test/java/io/tansystack/sim/JudgeTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.settings.SettingsTest;
+import io.tansystack.sim.Users.Known;
 import io.tansystack.sim.Users.Told;
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.JobSpec;
@@ -17,6 +19,11 @@
 
 /** The judge of the other tests sees a breach of each rule, planted without any controller. */
 class JudgeTest extends SimCluster {
+  {
+    settings = twoTeams();
+    types = List.of(new SimType("small", 40, 4, 64));
+  }
+
   private final Users users = new Users(this);
   private final Judge judge = users.judge();
   private final StandInWorker first = worker("a");
@@ -27,10 +34,16 @@
     return workers.get(addWorker(zone));
   }
 
-  private JobSpec job(int tasks, String zone, boolean together, boolean spread) {
+  private static JobSpec job(int tasks, String zone, boolean together, boolean spread) {
+    return job("wk-000001", "vision", tasks, 30, 0, null, zone, together, spread);
+  }
+
+  private static JobSpec job(
+      String id, String team, int tasks, double cpus, double gpus, List<String> types, String zone,
+      boolean together, boolean spread) {
     return new JobSpec(
-        "wk-000001", "c", "vision", Shape.ARRAY, Priority.NORMAL, tasks, 30, 0, 1, "img", 1, null, zone,
-        together, spread, false, 20, 0, 0, null);
+        id, "c", team, Shape.ARRAY, Priority.NORMAL, tasks, cpus, gpus, 1, "img", 1, types, zone, together, spread,
+        false, 20, 0, 0, null);
   }
 
   private void accepted(JobSpec spec) {
@@ -40,16 +53,34 @@
   }
 
   private void answer(String state) {
-    users.answered(told, told.over(), 200, Cbor.encode(Cbor.map().put("Status", state)));
+    answer(told.known(), state);
+  }
+
+  private void answer(Known known, String state) {
+    users.answered(told, known, 200, Cbor.encode(Cbor.map().put("Status", state)));
   }
 
   private void start(StandInWorker worker, int task) {
+    start(worker, "wk-000001/" + task);
+  }
+
+  private void start(StandInWorker worker, String task) {
+    command(worker, "launch", task);
+  }
+
+  private void command(StandInWorker worker, String command, String task) {
     ObjectNode orders = Cbor.map().put("Baton", worker.token).put("Shift", worker.session);
-    orders.putArray("Signals").addObject().put("Aspect", "launch").put("Wagon", "wk-000001/" + task)
-        .put("Departure", 1);
+    orders.putArray("Signals").addObject().put("Aspect", command).put("Wagon", task).put("Departure", 1)
+        .put("SlackS", 0);
     assertEquals(200, worker.orders(orders));
   }
 
+  /** Two teams, of which the second may use two GPUs and no more than 40 CPUs, like the first. */
+  private static String twoTeams() {
+    return SettingsTest.GOOD.replace("[cluster.workers]", "[[cluster.teams]]\nname = \"ops\"\ncpus_max = 40.0\n"
+        + "gpus_max = 2.0\n\n[cluster.workers]");
+  }
+
   private void plant(String breach) {
     switch (breach) {
       case "ran_twice" -> {
@@ -62,6 +93,32 @@
         start(first, 0);
         start(first, 1);
       }
+      case "quota of GPUs of the second team" -> {
+        for (int i = 0; i < 3; i++) {
+          accepted(job("wk-00000" + i, "ops", 1, 1, 1, null, null, false, false));
+          start(i == 0 ? first : second, "wk-00000" + i + "/0");
+        }
+      }
+      case "quota for a moment" -> {
+        accepted(job(2, null, false, false));
+        start(first, 0);
+        start(second, 1);
+        command(second, "halt", "wk-000001/1");
+      }
+      case "ran_twice for a moment" -> {
+        accepted(job(1, null, false, false));
+        start(first, 0);
+        start(second, 0);
+        second.die();
+      }
+      case "wrong_place type" -> {
+        accepted(job("wk-000001", "vision", 1, 1, 0, List.of("large"), null, false, false));
+        start(first, 0);
+      }
+      case "wrong_place spot" -> {
+        accepted(job(1, null, false, false));
+        start(workers.get(addWorker(types.get(0), "a", true)), 0);
+      }
       case "wrong_place zone" -> {
         accepted(job(1, "b", false, false));
         start(first, 0);
@@ -84,13 +141,64 @@
         loop.runFor(Duration.ofSeconds(62));
         start(first, 0);
       }
+      case "ran_cancelled for a moment" -> {
+        accepted(job(1, null, false, false));
+        told.asksToCancel = true;
+        answer("withdrawn");
+        loop.runFor(Duration.ofSeconds(62));
+        start(first, 0);
+        command(first, "halt", "wk-000001/0");
+      }
+      case "ran_cancelled after it hung" -> {
+        accepted(job(1, null, false, false));
+        run = Duration.ofSeconds(500);
+        first.lease = Duration.ofSeconds(100);
+        start(first, 0);
+        first.hungUntil = loop.now().plusSeconds(60);
+        told.asksToCancel = true;
+        answer("withdrawn");
+        loop.runFor(Duration.ofSeconds(62));
+      }
+      case "accepted what can't run" -> judge.answeredImpossible("wk-000008", 201);
       case "forgotten denied" -> {
         accepted(job(1, null, false, false));
-        users.answered(told, false, 404, Cbor.encode(Cbor.map()));
+        users.answered(told, told.known(), 404, Cbor.encode(Cbor.map()));
       }
       case "forgotten repetition" -> {
         accepted(job(1, null, false, false));
-        judge.refusedSubmission(told, 422);
+        users.answered(told, told.known(), 422, Cbor.encode(Cbor.map()));
+      }
+      case "waits" -> {
+        accepted(job("wk-000001", "vision", 1, 1, 0, null, null, false, false));
+        users.calm();
+        for (int i = 0; i < 100; i++) {
+          answer("pending");
+          first.keepLease();
+          loop.runFor(Duration.ofSeconds(1));
+        }
+      }
+      case "begins late" -> {
+        accepted(job("wk-000002", "vision", 1, 1, 0, null, null, false, false));
+        start(first, "wk-000002/0");
+        accepted(job("wk-000001", "vision", 9, 4, 0, null, null, false, false));
+        users.calm();
+        loop.runFor(Duration.ofSeconds(241));
+        start(first, 0);
+      }
+      case "less than half of class" -> {
+        for (int i = 0; i < 3; i++) {
+          accepted(job("wk-00000" + i, "vision", 1, 1, 0, null, null, false, false));
+        }
+        start(first, "wk-000000/0");
+        users.calm();
+      }
+      case "less than half of largest" -> {
+        for (int i = 0; i < 3; i++) {
+          accepted(job("wk-00000" + i, "vision", i == 0 ? 7 : 1, 1, 0, null, null, false, false));
+        }
+        start(first, "wk-000001/0");
+        start(first, "wk-000002/0");
+        users.calm();
       }
       case "forgotten silence" -> {
         accepted(job(1, null, false, false));
@@ -109,12 +217,18 @@
         answer("done");
         answer("running");
       }
+      case "went_back after another node" -> {
+        accepted(job(1, null, false, false));
+        told.asksToCancel = true;
+        answer("withdrawn"); // To the cancellation, by one node; the question went to another after that.
+        answer(new Known(true, true), "pending");
+      }
       case "went_back other end" -> {
         accepted(job(1, null, false, false));
         completed.add("wk-000001/0");
         told.asksToCancel = true;
         answer("done");
-        users.answered(told, false, 200, Cbor.encode(Cbor.map().put("Status", "withdrawn")));
+        answer(new Known(true, false), "withdrawn");
       }
       case "went_back uncancelled" -> {
         accepted(job(1, null, false, false));
@@ -127,30 +241,47 @@
   @ParameterizedTest
   @ValueSource(
       strings = {
-        "ran_twice", "quota", "wrong_place zone", "wrong_place apart", "wrong_place crowded", "ran_cancelled",
+        "ran_twice", "ran_twice for a moment", "quota", "quota for a moment", "quota of GPUs of the second team",
+        "wrong_place type", "wrong_place spot", "wrong_place zone", "wrong_place apart", "wrong_place crowded",
+        "ran_cancelled", "ran_cancelled for a moment", "ran_cancelled after it hung", "accepted what can't run",
         "forgotten denied", "forgotten repetition", "forgotten silence", "invented", "not_done", "went_back",
-        "went_back other end", "went_back uncancelled", "nothing_ran"
+        "went_back after another node", "went_back other end", "went_back uncancelled", "nothing_ran", "waits",
+        "begins late", "less than half of class", "less than half of largest"
       })
   void seesABreachOfEachRule(String breach) {
     plant(breach);
-    judge.look();
-    if (breach.startsWith("forgotten s") || breach.equals("nothing_ran")) {
-      judge.atTheEnd();
+    if (users.calmSince() == null) {
+      users.calm();
     }
-    String rule = breach.split(" ")[0];
+    judge.atTheEnd();
+    String rule = breach.startsWith("less") || breach.startsWith("begins") ? breach : breach.split(" ")[0];
     assertTrue(judge.broken.stream().anyMatch(b -> b.startsWith(rule)), breach + ": " + judge.broken);
   }
 
+  /** Counted and told with its time, though not more than {@code cancel_s} after it was confirmed. */
+  @Test
+  void countsStartsAfterAConfirmedCancellation() {
+    accepted(job(1, null, false, false));
+    told.asksToCancel = true;
+    answer("withdrawn");
+    loop.runFor(Duration.ofSeconds(3));
+    start(first, 0);
+    assertEquals(
+        List.of(new Judge.LateStart("wk-000001/0", first.name, Duration.ofSeconds(3))), judge.lateStarts);
+    assertEquals(0, judge.broken.size(), judge.broken.toString());
+  }
+
   @Test
   void seesNothingWhereNothingIsWrong() {
     accepted(job(2, null, false, true));
+    Known before = told.known();
     start(first, 0);
-    judge.look();
     loop.runFor(Duration.ofSeconds(30));
     start(second, 1);
-    judge.look();
     completed.addAll(List.of("wk-000001/0", "wk-000001/1"));
     answer("done");
-    assertEquals(0, judge.broken.size(), judge.broken.toString());
+    answer(before, "running"); // Asked before anybody knew of the end.
+    users.calm();
+    assertEquals(0, judge.atTheEnd().size(), judge.broken.toString());
   }
 }
--- a/src/test/java/io/tansystack/sim/MeetingsTest.java
+++ b/src/test/java/io/tansystack/sim/MeetingsTest.java
@@ -209,7 +209,7 @@
   }
 
   private void lateWritesOf(String kind, double share) throws Exception {
-    lateKind = kind;
+    writeKind = kind;
     lateWrites = share / 2; // So that a cluster comes to be at all.
     running(4, 16, 12, 3);
     lateWrites = share;
--- /dev/null
+++ b/src/test/java/io/tansystack/sim/Served.java
@@ -0,0 +1,126 @@
+package io.tansystack.sim;
+
+import io.tansystack.sim.Users.Told;
+import io.tansystack.wire.JobSpec;
+import io.tansystack.wire.Shape;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Who is served: that no job waits while there is room for it, that the largest begin too, and that no
+ * class, team or class's largest jobs are left with less than half.
+ */
+final class Served {
+  /** Once all troubles are over, so long may a job wait while a machine that fits has room. */
+  private static final Duration ROOM = Duration.ofSeconds(90);
+
+  /** Within this the largest begin too, from when they were submitted and there was no trouble. */
+  private static final Duration BEGINS = Duration.ofMinutes(4);
+
+  private final SimCluster cluster;
+  private final Users users;
+  private final Map<String, Judge.Limit> limits;
+  private final Map<String, Duration> begun = new HashMap<>();
+  private final Map<String, Duration> roomSince = new HashMap<>();
+  private final Set<String> waited = new LinkedHashSet<>();
+
+  Served(SimCluster cluster, Users users, Map<String, Judge.Limit> limits) {
+    this.cluster = cluster;
+    this.users = users;
+    this.limits = limits;
+  }
+
+  void started(Told told) {
+    begun.putIfAbsent(told.spec.id(), cluster.loop.now());
+  }
+
+  /** Looks at who waits. */
+  void look() {
+    if (users.calmSince() == null) {
+      return;
+    }
+    Map<String, double[]> used = new HashMap<>();
+    Map<String, Integer> live = new HashMap<>();
+    for (StandInWorker worker : cluster.workers.values()) {
+      for (String task : worker.live()) {
+        String id = task.substring(0, task.indexOf('/'));
+        JobSpec spec = users.jobs.containsKey(id) ? users.jobs.get(id).spec : SimCluster.spec(id, 1);
+        live.merge(id, 1, Integer::sum);
+        double[] team = used.computeIfAbsent(spec.team(), k -> new double[2]);
+        team[0] += spec.cpus();
+        team[1] += spec.gpus();
+      }
+    }
+    for (Told told : users.jobs.values()) {
+      JobSpec spec = told.spec;
+      boolean waits = told.accepted != null && !told.over() && !told.asksToCancel && !live.containsKey(spec.id())
+          && !cluster.completed.contains(spec.id() + "/" + (spec.tasks() - 1));
+      if (!waits || !hasRoom(spec, used.getOrDefault(spec.team(), new double[2]))) {
+        roomSince.remove(spec.id());
+        continue;
+      }
+      Duration since = roomSince.computeIfAbsent(spec.id(), k -> cluster.loop.now());
+      if (cluster.loop.now().minus(since).compareTo(ROOM) > 0) {
+        waited.add("waits " + spec.id() + " though a machine that fits has room");
+      }
+    }
+  }
+
+  /** Whether as many of its tasks as must begin at once fit on machines that are there, within its team's limit. */
+  private boolean hasRoom(JobSpec spec, double[] used) {
+    int together = spec.shape() == Shape.ARRAY ? 1 : spec.tasks();
+    Judge.Limit limit = limits.getOrDefault(spec.team(), new Judge.Limit(0, 0));
+    if ((limit.cpus() > 0 && used[0] + spec.cpus() * together > limit.cpus() + 1e-6)
+        || (limit.gpus() > 0 && used[1] + spec.gpus() * together > limit.gpus() + 1e-6)) {
+      return false;
+    }
+    Map<String, Integer> fit = new HashMap<>();
+    for (StandInWorker worker : cluster.workers.values()) {
+      boolean allowed = !worker.dead && !worker.hangs() && spec.allows(worker.type.name(), worker.zone, worker.spot);
+      if (allowed && worker.hasRoomFor(spec)) {
+        fit.merge(worker.zone, 1, Integer::sum); // One task a machine: what is counted is there for certain.
+      }
+    }
+    int most = spec.scatter() ? (together + 1) / 2 : together;
+    int all = fit.values().stream().mapToInt(count -> Math.min(count, most)).sum();
+    int one = fit.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+    return (spec.sameZone() ? one : all) >= together;
+  }
+
+  /** What was broken. */
+  Set<String> atTheEnd() {
+    Set<String> broken = new LinkedHashSet<>(waited);
+    Map<String, List<Told>> groups = new LinkedHashMap<>();
+    for (Told told : users.jobs.values()) {
+      if (told.accepted == null || told.asksToCancel) {
+        continue;
+      }
+      Duration owed = told.accepted.compareTo(users.calmSince()) > 0 ? told.accepted : users.calmSince();
+      Duration began = begun.getOrDefault(told.spec.id(), cluster.loop.now());
+      if (began.minus(owed).compareTo(BEGINS) > 0) {
+        broken.add("begins late " + told.spec.id() + " of " + told.spec.tasks() + " tasks");
+      }
+      groups.computeIfAbsent("class " + told.spec.jobClass(), k -> new ArrayList<>()).add(told);
+      groups.computeIfAbsent("team " + told.spec.team(), k -> new ArrayList<>()).add(told);
+    }
+    Map<String, List<Told>> largest = new LinkedHashMap<>();
+    groups.forEach((name, members) -> {
+      int most = members.stream().mapToInt(told -> told.spec.tasks()).max().orElse(0);
+      largest.put("largest of " + name, members.stream().filter(t -> t.spec.tasks() == most).toList());
+    });
+    groups.putAll(largest);
+    groups.forEach((name, members) -> {
+      long begunOnes = members.stream().filter(told -> begun.containsKey(told.spec.id())).count();
+      if (begunOnes * 2 < members.size()) {
+        broken.add("less than half of " + name + ": " + begunOnes + " of " + members.size());
+      }
+    });
+    return broken;
+  }
+}
--- a/src/test/java/io/tansystack/sim/SimCluster.java
+++ b/src/test/java/io/tansystack/sim/SimCluster.java
@@ -89,6 +89,7 @@
   }
 
   void submit(String id, int tasks) {
+    uploaded.put(id, spec(id, tasks));
     ObjectNode[] answer = new ObjectNode[1];
     for (int i = 0; i < 30; i++) {
       int status = call("POST", "/v1/jobs", Cbor.encode(spec(id, tasks).write()), answer);
--- a/src/test/java/io/tansystack/sim/SimNetwork.java
+++ b/src/test/java/io/tansystack/sim/SimNetwork.java
@@ -1,5 +1,6 @@
 package io.tansystack.sim;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.cli.Controller;
 import io.tansystack.http.HttpCaller;
@@ -9,6 +10,7 @@
 import io.tansystack.settings.SettingsTest;
 import io.tansystack.wire.BadInput;
 import io.tansystack.wire.Cbor;
+import io.tansystack.wire.JobSpec;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
@@ -21,6 +23,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -59,6 +62,26 @@
   Duration fetch = Duration.ZERO;
   Duration save = Duration.ZERO;
 
+  /** How long after its rental a machine begins to report. */
+  Duration boot = Duration.ofSeconds(5);
+
+  /** A machine type as the cloud offers it, in all zones. */
+  record SimType(String name, double cpus, double gpus, double memGb) {}
+
+  List<SimType> types = List.of(new SimType("small", 4, 0, 16));
+
+  /** What users have uploaded: workers fetch descriptions themselves. */
+  final Map<String, JobSpec> uploaded = new HashMap<>();
+
+  /** Told of each change of what is on a machine; and of each task's end with its work done. */
+  final List<Runnable> onChange = new ArrayList<>();
+
+  final List<Consumer<String>> onCompleted = new ArrayList<>();
+
+  void changed() {
+    onChange.forEach(Runnable::run);
+  }
+
   /** Tasks that have completed on some machine. */
   final Set<String> completed = new HashSet<>();
 
@@ -160,12 +183,19 @@
           || (index == deafTo && to.getPort() >= 9000)) {
         return;
       }
-      if (to.equals(STORE) && path.equals("/commit") && late(body)) {
+      boolean commits = to.equals(STORE) && path.equals("/commit") && body != null && ofKind(body);
+      if (commits && overLimit) {
+        from.after(delay(to), () -> outcome.answer(429, Cbor.encode(Cbor.map())));
+        return;
+      }
+      if (commits && drawn(lateWrites)) {
         carriedOutLate(decode(body));
         return;
       }
+      boolean unanswered =
+          commits && drawn(answersLost) || to.equals(CLOUD) && path.equals("/machines") && drawn(rentalsUnanswered);
       boolean late = random.nextDouble() < trouble;
-      boolean lost = random.nextDouble() < trouble;
+      boolean lost = unanswered || random.nextDouble() < trouble;
       Duration way = late ? Duration.ofMillis(3000 + random.nextInt(40_000)) : delay(to);
       Duration home = delay(to).plus(path.startsWith("/store/") ? slowReads : Duration.ZERO);
       BiConsumer<Integer, byte[]> back =
@@ -186,10 +216,9 @@
     };
   }
 
-  private boolean late(byte[] transaction) {
-    return lateWrites > 0
-        && decode(transaction).get("Then").toString().contains("\"" + lateKind)
-        && drawn(lateWrites);
+  private boolean ofKind(byte[] transaction) {
+    return (overLimit || lateWrites > 0 || answersLost > 0)
+        && decode(transaction).get("Then").toString().contains("\"" + writeKind);
   }
 
   private boolean drawn(double share) {
@@ -280,14 +309,18 @@
   }
 
   String addWorker(String zone) {
+    return addWorker(types.get(0), zone, false);
+  }
+
+  String addWorker(SimType type, String zone, boolean spot) {
     String name = String.format("n-%06d", machineCounter);
     StandInWorker worker =
         new StandInWorker(
-            this, name, "127.0.0.1:" + (9000 + machineCounter), zone,
+            this, name, "127.0.0.1:" + (9000 + machineCounter), type, zone, spot,
             Duration.ofMillis((long) (setting("lease_s") * 1000)));
     machineCounter++;
     workers.put(name, worker);
-    loop.after(Duration.ofSeconds(5), () -> report(worker));
+    loop.after(boot, () -> report(worker));
     return name;
   }
 
@@ -326,8 +359,12 @@
     }
     boolean lost = random.nextDouble() < trouble;
     byte[] body = Cbor.encode(worker.report().write());
-    if (copies > 0 && random.nextDouble() < copies) {
-      copyLater(body);
+    if (drawn(copies)) {
+      if (copiesForNext) {
+        copyForNext(body, leader());
+      } else {
+        copyLater(body);
+      }
     }
     Reply reply = (status, bytes, r) -> {
       if (over[0] || lost || worker.dead || worker.hangs() || unhearing.contains(worker.name)) {
@@ -350,13 +387,36 @@
   /** From seconds to well over a lease later, and whoever answers, nobody hears it. */
   private void copyLater(byte[] body) {
     loop.after(
-        Duration.ofMillis(2000 + random.nextInt(70_000)),
-        () -> {
-          int to = random.nextInt(controllerCount);
-          Controller controller = controllers.get(to);
-          if (controller != null && !silent.contains(to)) {
-            processes.get(to).run(() -> controller.front("POST", "/v1/report", body, (s, b, r) -> {}));
-          }
-        });
+        Duration.ofMillis(2000 + random.nextInt(70_000)), () -> copyTo(random.nextInt(controllerCount), body));
+  }
+
+  /** Kept until another controller leads, then it comes there, and soon after to all others. */
+  private void copyForNext(byte[] body, int leader) {
+    if (!copiesForNext) {
+      return;
+    }
+    int now = leader();
+    if (now < 0 || now == leader) {
+      loop.after(Duration.ofMillis(50), () -> copyForNext(body, leader));
+      return;
+    }
+    copyTo(now, body);
+    for (int i = 0; i < controllerCount; i++) {
+      int other = i;
+      loop.after(Duration.ofMillis(random.nextInt(3000)), () -> copyTo(other, body));
+    }
+  }
+
+  /** Who holds the fleet; -1 for nobody. */
+  int leader() {
+    JsonNode fleet = store.values.get("ts/fleet");
+    return fleet == null ? -1 : Integer.parseInt(fleet.get("label").asText().substring(2));
+  }
+
+  private void copyTo(int to, byte[] body) {
+    Controller controller = controllers.get(to);
+    if (controller != null && !silent.contains(to)) {
+      processes.get(to).run(() -> controller.front("POST", "/v1/report", body, (s, b, r) -> {}));
+    }
   }
 }
--- a/src/test/java/io/tansystack/sim/SimTroubles.java
+++ b/src/test/java/io/tansystack/sim/SimTroubles.java
@@ -50,8 +50,23 @@
   /** How often a transaction gets no answer and is carried out 2 to 12 s later, after newer ones. */
   double lateWrites;
 
-  /** Only transactions that write to keys of this prefix are carried out late. */
-  String lateKind = "";
+  /** How often a transaction is carried out at once, while others read it, and only its answer is lost. */
+  double answersLost;
+
+  /** Only transactions that write to keys of this prefix are carried out late, unanswered, or over the limit. */
+  String writeKind = "";
+
+  /** Whether such transactions are over the state service's limit: answered 429, each time. */
+  boolean overLimit;
+
+  /** Copies of reports are kept until another controller has come to lead, and then all come to that one. */
+  boolean copiesForNext;
+
+  /** How often a rental is carried out and its answer lost. */
+  double rentalsUnanswered;
+
+  /** For how long new machines are missing from the cloud's list. */
+  Duration listLag = Duration.ZERO;
 
   /** The longest time by which a request to the state service and its answer are held up each. */
   Duration storeSlow = Duration.ZERO;
@@ -82,6 +97,12 @@
     refuseRepeated = false;
     trouble = 0;
     lateWrites = 0;
+    answersLost = 0;
+    writeKind = "";
+    overLimit = false;
+    copiesForNext = false;
+    rentalsUnanswered = 0;
+    listLag = Duration.ZERO;
     storeSlow = Duration.ZERO;
     slowReads = Duration.ZERO;
     uncommanded.clear();
--- a/src/test/java/io/tansystack/sim/StandInCloud.java
+++ b/src/test/java/io/tansystack/sim/StandInCloud.java
@@ -3,11 +3,12 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.wire.Cbor;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.BiConsumer;
 
-/** A stand-in for the cloud, after its published protocol: one type of machine, in the network's zones. */
+/** A stand-in for the cloud, after its published protocol: the network's types of machines, in its zones. */
 final class StandInCloud {
   private final SimNetwork network;
 
@@ -18,13 +19,21 @@
     this.network = network;
   }
 
+  private SimNetwork.SimType type(String name) {
+    return network.types.stream().filter(type -> type.name().equals(name)).findFirst().orElseThrow();
+  }
+
   void handle(String path, ObjectNode body, BiConsumer<Integer, ObjectNode> reply) {
     ObjectNode map = Cbor.map();
     if (path.equals("/machine_types")) {
-      ObjectNode type = map.putArray("Fleets").addObject();
-      type.put("Label", "small").put("Cpus", 4).put("Gpus", 0).put("MemGb", 16).put("CacheGb", 50);
-      type.put("PullGbPerS", 1.0).put("Price", 1.0).put("MarketPrice", 0.3).put("BootS", 5);
-      network.zones.forEach(type.putArray("Yards")::add);
+      ArrayNode list = map.putArray("Fleets");
+      for (SimNetwork.SimType offered : network.types) {
+        ObjectNode type = list.addObject();
+        type.put("Label", offered.name()).put("Cpus", offered.cpus()).put("Gpus", offered.gpus());
+        type.put("MemGb", offered.memGb()).put("CacheGb", 50).put("PullGbPerS", 1.0);
+        type.put("Price", 1.0 + offered.gpus()).put("MarketPrice", 0.3 + offered.gpus()).put("BootS", 5);
+        network.zones.forEach(type.putArray("Yards")::add);
+      }
     } else if (path.equals("/machines")) {
       String charter = body.get("Charter").asText();
       if (rented.containsKey(charter)) {
@@ -35,7 +44,9 @@
       for (int i = 0;
           i < body.get("HowMany").asInt() && network.workers.size() < network.maxMachines;
           i++) {
-        names.add(network.addWorker(body.get("Yard").asText()));
+        names.add(
+            network.addWorker(
+                type(body.get("Fleet").asText()), body.get("Yard").asText(), body.path("Loaners").asBoolean()));
       }
       if (names.isEmpty()) {
         reply.accept(503, Cbor.map().put("error", "no capacity"));
@@ -48,15 +59,18 @@
               name -> {
                 StandInWorker worker = network.workers.remove(name.asText());
                 if (worker != null) {
-                  worker.dead = true;
+                  worker.die();
                 }
               });
     } else {
       ArrayNode list = map.putArray("Berths");
-      network.workers.values().forEach(
-          w ->
-              list.addObject().put("Uid", w.name).put("Endpoint", w.address).put("Fleet", "small")
-                  .put("Yard", w.zone).put("Loaners", false).put("Status", "running").put("AgeS", 9));
+      Duration now = network.loop.now();
+      network.workers.values().stream()
+          .filter(w -> now.minus(w.rentedAt).compareTo(network.listLag) >= 0)
+          .forEach(
+              w ->
+                  list.addObject().put("Uid", w.name).put("Endpoint", w.address).put("Fleet", w.type.name())
+                      .put("Yard", w.zone).put("Loaners", w.spot).put("Status", "running").put("AgeS", 9));
       map.put("HasNext", false);
     }
     reply.accept(200, map);
--- a/src/test/java/io/tansystack/sim/StandInWorker.java
+++ b/src/test/java/io/tansystack/sim/StandInWorker.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.Report;
 import io.tansystack.wire.TaskId;
 import io.tansystack.wire.TaskReport;
@@ -19,8 +20,11 @@
   private final SimLoop loop;
   final String name;
   final String address;
+  final SimNetwork.SimType type;
   final String zone;
-  private final Duration lease;
+  final boolean spot;
+  final Duration rentedAt;
+  Duration lease;
   private final Map<String, TaskReport> tasks = new LinkedHashMap<>();
   long session = 1;
   private long seq;
@@ -43,17 +47,27 @@
   /** Orders that a squared fleet would not have needed. */
   final List<String> needless = new ArrayList<>();
 
-  StandInWorker(SimNetwork network, String name, String address, String zone, Duration lease) {
+  StandInWorker(
+      SimNetwork network, String name, String address, SimNetwork.SimType type, String zone, boolean spot,
+      Duration lease) {
     this.network = network;
     this.loop = network.loop;
     this.name = name;
     this.address = address;
+    this.type = type;
     this.zone = zone;
+    this.spot = spot;
+    this.rentedAt = loop.now();
     this.lease = lease;
     this.leaseFrom = loop.now();
     tick();
   }
 
+  /** As an answered report does. */
+  void keepLease() {
+    leaseFrom = loop.now();
+  }
+
   boolean hangs() {
     return loop.now().compareTo(hungUntil) < 0;
   }
@@ -67,13 +81,14 @@
       tasks.clear();
       session++;
       leaseFrom = loop.now();
+      network.changed();
     }
     loop.after(Duration.ofMillis(200), this::tick);
   }
 
   Report report() {
     return new Report(
-        name, address, "small", zone, false, session, ++seq, token, noticeS,
+        name, address, type.name(), zone, spot, session, ++seq, token, noticeS,
         new ArrayList<>(tasks.values()));
   }
 
@@ -126,8 +141,7 @@
     TaskId task = new TaskId(id.substring(0, id.indexOf('/')), Integer.parseInt(id.substring(id.indexOf('/') + 1)));
     boolean busy =
         tasks.values().stream().anyMatch(t -> t.task().equals(task) && !t.exited());
-    long live = tasks.values().stream().filter(t -> !t.exited()).count();
-    if (busy || live >= 4) {
+    if (busy || !hasRoomFor(network.uploaded.get(task.job()))) {
       tasks.put(
           key, new TaskReport(task, attempt, State.EXITED, busy ? Cause.BUSY : Cause.NO_ROOM, false));
       return;
@@ -138,22 +152,42 @@
       return;
     }
     tasks.put(key, new TaskReport(task, attempt, State.FETCHING, null, false));
+    network.changed();
     later(network.fetch, key, State.FETCHING, () -> run(task, attempt, key));
   }
 
   private void run(TaskId task, long attempt, String key) {
     if (network.gangs.isGang(task.job())) {
       tasks.put(key, new TaskReport(task, attempt, State.WAITING, null, false));
+      network.changed();
       network.gangs.arrived(this, key, task.job(), task.index(), attempt);
       return;
     }
     tasks.put(key, new TaskReport(task, attempt, State.RUNNING, null, false));
-    later(network.runOf(task.toString()), key, State.RUNNING, () -> {
+    network.changed();
+    // A result is kept: started again, the task ends as soon as it has its image.
+    Duration left = network.completed.contains(task.toString()) ? Duration.ZERO : network.runOf(task.toString());
+    later(left, key, State.RUNNING, () -> {
       network.completed.add(task.toString());
       end(key, Cause.DONE);
+      network.onCompleted.forEach(told -> told.accept(task.toString()));
     });
   }
 
+  /** Whether another task of the job fits beside what is there; one whose description nobody has takes a CPU. */
+  boolean hasRoomFor(JobSpec wanted) {
+    double cpus = wanted == null ? 1 : wanted.cpus();
+    double gpus = wanted == null ? 0 : wanted.gpus();
+    double memGb = wanted == null ? 1 : wanted.memGb();
+    for (String task : live()) {
+      JobSpec spec = network.uploaded.get(task.substring(0, task.indexOf('/')));
+      cpus += spec == null ? 1 : spec.cpus();
+      gpus += spec == null ? 0 : spec.gpus();
+      memGb += spec == null ? 1 : spec.memGb();
+    }
+    return cpus <= type.cpus() + 1e-9 && gpus <= type.gpus() + 1e-9 && memGb <= type.memGb() + 1e-9;
+  }
+
   /** Does it after a while, if the task is still there in that state. */
   private void later(Duration delay, String key, State state, Runnable then) {
     long inSession = session;
@@ -194,9 +228,26 @@
     TaskReport t = tasks.get(key);
     if (t != null && !t.exited()) {
       tasks.put(key, new TaskReport(t.task(), t.attempt(), State.EXITED, cause, false));
+      network.changed();
     }
   }
 
+  /** The cloud took it away, or it died: nothing on it is left. */
+  void die() {
+    dead = true;
+    network.changed();
+  }
+
+  /** Tasks that have not ended, each with its attempt and the session. */
+  List<String> attempts() {
+    return dead
+        ? List.of()
+        : tasks.values().stream()
+            .filter(t -> !t.exited())
+            .map(t -> t.task() + "#" + t.attempt() + "#" + session)
+            .toList();
+  }
+
   boolean holds(String task) {
     return !dead
         && tasks.values().stream().anyMatch(t -> !t.exited() && t.task().toString().equals(task));
--- a/src/test/java/io/tansystack/sim/StartTest.java
+++ b/src/test/java/io/tansystack/sim/StartTest.java
@@ -229,6 +229,7 @@
     workers.values().forEach(worker -> worker.dead = true);
     workers.clear();
     started.clear();
+    completed.clear();
     submitted = 0;
     jobs = 0;
     cancelled = null;
--- a/src/test/java/io/tansystack/sim/Users.java
+++ b/src/test/java/io/tansystack/sim/Users.java
@@ -48,16 +48,33 @@
     boolean over() {
       return done != null || cancelled != null;
     }
+
+    /** What the user has been told up to now. */
+    Known known() {
+      return new Known(accepted != null, over());
+    }
   }
 
+  /** What any node had told a user of a job when a question was asked. */
+  record Known(boolean accepted, boolean over) {}
+
   private final SimCluster cluster;
   private final Judge judge;
   final Map<String, Told> jobs = new LinkedHashMap<>();
   private Duration calmSince;
 
+  /** Whether they ask at all nodes within milliseconds once a job was accepted, has ended or is cancelled. */
+  boolean closeLooks;
+
+  /** How often a job is cancelled, and asked about, at the moment at which its last task ends. */
+  double cancelAtEnd;
+
+  private static final int[] CLOSE_MS = {0, 1, 3, 10, 25, 50};
+
   Users(SimCluster cluster) {
     this.cluster = cluster;
     this.judge = new Judge(cluster, this);
+    cluster.onCompleted.add(this::completed);
   }
 
   Judge judge() {
@@ -69,6 +86,11 @@
     calmSince = cluster.loop.now();
   }
 
+  /** Null before. */
+  Duration calmSince() {
+    return calmSince;
+  }
+
   /** The longest time that each accepted job has gone without an answer since then. */
   Map<String, Duration> waits() {
     Map<String, Duration> waits = new LinkedHashMap<>();
@@ -91,6 +113,7 @@
   void submit(JobSpec spec, int at) {
     Told told = new Told(spec);
     jobs.put(spec.id(), told);
+    cluster.uploaded.put(spec.id(), spec);
     if (spec.shape() == Shape.GANG) {
       cluster.gangs.sizes.put(spec.id(), spec.tasks());
     }
@@ -98,37 +121,87 @@
   }
 
   private void submitAgain(Told told, int at) {
-    boolean over = told.over();
+    Known known = told.known();
     ask(at, "POST", "/v1/jobs", Cbor.encode(told.spec.write()), TIMEOUT, (status, body) -> {
+      answered(told, known, status, body);
       if (status == 200 || status == 201) {
-        answered(told, over, status, body);
         poll(told);
       } else {
-        judge.refusedSubmission(told, status);
         cluster.loop.after(AGAIN, () -> submitAgain(told, ANY));
       }
     });
   }
 
+  /** Submits an accepted job once more, whatever the body holds besides its id. */
+  void repeat(Told told, int at, byte[] body) {
+    Known known = told.known();
+    ask(at, "POST", "/v1/jobs", body, TIMEOUT, (status, answer) -> answered(told, known, status, answer));
+  }
+
+  /** What fits no machine, or lacks a field, is not accepted, and nobody knows of it afterwards. */
+  void submitImpossible(String id, byte[] body) {
+    ask(ANY, "POST", "/v1/jobs", body, TIMEOUT, (status, answer) -> judge.answeredImpossible(id, status));
+    cluster.loop.after(AGAIN, () -> askForNone(id));
+  }
+
+  /** Asks about a job at once at every node, submits it there again, and cancels it again if it was cancelled. */
+  private void lookClosely(Told told) {
+    byte[] again = Cbor.encode(told.spec.write());
+    for (int i = 0; i < cluster.controllerCount; i++) {
+      int node = i;
+      for (int ms : CLOSE_MS) {
+        cluster.loop.after(Duration.ofMillis(ms), () -> pollAt(told, node));
+        cluster.loop.after(Duration.ofMillis(ms), () -> repeat(told, node, again));
+      }
+      if (told.cancelled != null) {
+        cluster.loop.after(Duration.ofMillis(node * 7L), () -> cancelOnce(told, node));
+      }
+    }
+  }
+
+  /** A task has ended on its machine; if it was its job's last, some call the job off that very moment. */
+  private void completed(String task) {
+    Told told = jobs.get(task.substring(0, task.indexOf('/')));
+    boolean all = told != null && !told.asksToCancel;
+    for (int i = 0; all && i < told.spec.tasks(); i++) {
+      all = cluster.completed.contains(told.spec.id() + "/" + i);
+    }
+    if (all && cancelAtEnd > 0 && cluster.random.nextDouble() < cancelAtEnd) {
+      int ms = cluster.random.nextInt(24);
+      cluster.loop.after(Duration.ofMillis(ms), () -> cancel(told.spec.id(), ANY));
+      cluster.loop.after(Duration.ofMillis(cluster.random.nextInt(40)), () -> pollAt(told, ANY));
+    }
+  }
+
   /** Cancels until it is confirmed. */
   void cancel(String id, int at) {
     Told told = jobs.get(id);
     told.asksToCancel = true;
-    boolean over = told.over();
+    Known known = told.known();
     ask(at, "POST", "/v1/jobs/" + id + "/abort", new byte[0], TIMEOUT, (status, body) -> {
-      if (status == 200) {
-        answered(told, over, status, body);
-      } else {
+      answered(told, known, status, body);
+      if (status != 200) {
         cluster.loop.after(AGAIN, () -> cancel(id, ANY));
       }
     });
   }
 
+  /** Cancels once more, without insisting; the user has asked for that before, or it is over. */
+  void cancelOnce(Told told, int at) {
+    Known known = told.known();
+    ask(at, "POST", "/v1/jobs/" + told.spec.id() + "/abort", new byte[0], TIMEOUT,
+        (status, body) -> answered(told, known, status, body));
+  }
+
   private void poll(Told told) {
     cluster.loop.after(POLL_EVERY, () -> poll(told));
-    String path = "/v1/jobs/" + told.spec.id();
-    boolean over = told.over();
-    ask(ANY, "GET", path, new byte[0], POLL_TIMEOUT, (status, body) -> answered(told, over, status, body));
+    pollAt(told, ANY);
+  }
+
+  private void pollAt(Told told, int at) {
+    Known known = told.known();
+    ask(at, "GET", "/v1/jobs/" + told.spec.id(), new byte[0], POLL_TIMEOUT,
+        (status, body) -> answered(told, known, status, body));
   }
 
   /** Asks about a job that nobody has submitted. */
@@ -137,15 +210,16 @@
   }
 
   /**
-   * Takes in an answer about a job that was accepted.
+   * Takes in an answer about a job.
    *
-   * @param over whether the user knew of its end when it asked
+   * @param known what the user had been told of it when it asked
    */
-  void answered(Told told, boolean over, int status, byte[] body) {
-    judge.answered(told, over, status, body);
+  void answered(Told told, Known known, int status, byte[] body) {
+    judge.answered(told, known, status, body);
     if (status != 200 && status != 201) {
       return;
     }
+    Known before = told.known();
     Duration now = cluster.loop.now();
     ObjectNode map = SimNetwork.decode(body);
     String state = map.path("Status").asText();
@@ -158,6 +232,9 @@
       told.longest = wait.compareTo(told.longest) > 0 ? wait : told.longest;
     }
     told.lastAnswer = now;
+    if (closeLooks && !told.known().equals(before)) {
+      lookClosely(told);
+    }
   }
 
   /** A request to one controller; status 0 where no answer comes in time. */
