--- a/src/test/java/io/tansystack/sim/DrawnDay.java
+++ b/src/test/java/io/tansystack/sim/DrawnDay.java
@@ -136,7 +136,11 @@
         users.cancel(id, Users.ANY);
       }
     });
-    loop.runFor(seed > WIDE ? CALM.plusSeconds(150) : CALM); // Teams may have far more work than their limits.
+    loop.runFor(seed > WIDE ? CALM.dividedBy(2) : CALM);
+    // A team may have far more work than its limit; whether others wait meanwhile is judged all the time.
+    for (int i = 0; seed > WIDE && i < 30 && !users.jobs.values().stream().allMatch(Told::over); i++) {
+      loop.runFor(Duration.ofSeconds(30));
+    }
     users.closeLooks = false;
     users.cancelAtEnd = 0;
     Set<String> broken = new LinkedHashSet<>(users.judge().atTheEnd());
