What can't be read, or has an unknown status, proves nothing; such lines are few

Cause: commands that a worker answered with an unknown status, or as another machine, counted as not under way any more; the report of before them, which doesn't list what they launched, then served as proof that it isn't there. A 404 or 409 without the state service's revision counted as its word.

Measured in the simulated cluster: without the first a gang's task ran twice (launchesAnsweredAsNobodyKnowsMayHaveBeenCarriedOut), without the second jobs put away were denied (aDenialOfAnotherMakingDeniesNoJob); both green now.

--- a/src/main/java/io/tansystack/fleet/Inventory.java
+++ b/src/main/java/io/tansystack/fleet/Inventory.java
@@ -9,6 +9,7 @@
 import io.tansystack.wire.CloudWire.Status;
 import io.tansystack.wire.CloudWire;
 import io.tansystack.wire.MachineType;
+import io.tansystack.wire.Malformed;
 import io.tansystack.workers.View;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -18,7 +19,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
-import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
@@ -26,7 +26,7 @@
  * to rentals made here, which don't. Finds what has vanished, failed or never came up.
  */
 final class Inventory {
-  private static final Logger log = LoggerFactory.getLogger(Inventory.class);
+  private final Malformed malformed = new Malformed(LoggerFactory.getLogger(Inventory.class));
   private static final Duration LIST_EVERY = Duration.ofSeconds(2);
   private static final Duration UNCLAIMED = Duration.ofSeconds(40);
 
@@ -147,7 +147,7 @@
             complete = true;
             vanished(seen, askedAt);
           } catch (BadInput e) {
-            log.warn("the machine list is unreadable: {}", e.getMessage());
+            malformed.tell("the machine list is unreadable", e.getMessage());
           }
         });
   }
--- a/src/main/java/io/tansystack/fleet/Rentals.java
+++ b/src/main/java/io/tansystack/fleet/Rentals.java
@@ -15,6 +15,7 @@
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.CloudWire;
 import io.tansystack.wire.MachineType;
+import io.tansystack.wire.Malformed;
 import io.tansystack.wire.Read;
 import io.tansystack.wire.StoreWire.Condition;
 import io.tansystack.wire.StoreWire.Write;
@@ -38,6 +39,7 @@
  */
 final class Rentals {
   private static final Logger log = LoggerFactory.getLogger(Rentals.class);
+  private final Malformed malformed = new Malformed(log);
   private static final Duration ASK_AGAIN = Duration.ofSeconds(2);
   private static final Duration TROUBLE_PAUSE = Duration.ofSeconds(2);
   private static final Duration FLUSH = Duration.ofSeconds(1);
@@ -286,7 +288,7 @@
           try {
             names = status == 200 ? CloudWire.readRented(map) : names;
           } catch (BadInput e) {
-            log.warn("the answer to rental {} is unreadable: {}", r.id, e.getMessage());
+            malformed.tell("the answer to rental " + r.id + " is unreadable", e.getMessage());
             status = 0;
           }
           log.info(
--- a/src/main/java/io/tansystack/fleet/TypeDuty.java
+++ b/src/main/java/io/tansystack/fleet/TypeDuty.java
@@ -8,13 +8,13 @@
 import io.tansystack.store.StoreClient;
 import io.tansystack.wire.BadInput;
 import io.tansystack.wire.MachineType;
+import io.tansystack.wire.Malformed;
 import io.tansystack.wire.StoreWire.Write;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
@@ -22,7 +22,7 @@
  * while the cloud is away can still tell what can run.
  */
 public final class TypeDuty {
-  private static final Logger log = LoggerFactory.getLogger(TypeDuty.class);
+  private final Malformed malformed = new Malformed(LoggerFactory.getLogger(TypeDuty.class));
   private static final Duration REFRESH = Duration.ofMinutes(3);
 
   private final Loop loop;
@@ -73,7 +73,7 @@
       types = next;
       return !next.isEmpty();
     } catch (BadInput e) {
-      log.warn("machine types are unreadable: {}", e.getMessage());
+      malformed.tell("machine types are unreadable", e.getMessage());
       return false;
     }
   }
--- a/src/main/java/io/tansystack/http/CborOutcome.java
+++ b/src/main/java/io/tansystack/http/CborOutcome.java
@@ -3,12 +3,13 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.wire.BadInput;
 import io.tansystack.wire.Cbor;
-import org.slf4j.Logger;
+import io.tansystack.wire.Malformed;
 import org.slf4j.LoggerFactory;
 
 /** The outcome of a request whose answer is a CBOR map, as the published interfaces have it. */
 public final class CborOutcome implements HttpCaller.Outcome {
-  private static final Logger log = LoggerFactory.getLogger(CborOutcome.class);
+  /** One for all: an outcome lives for one request. */
+  private static final Malformed MALFORMED = new Malformed(LoggerFactory.getLogger(CborOutcome.class));
 
   /** An answer's status and, if it could be read, its body. Status 0 stands for no answer. */
   public interface Answer {
@@ -33,7 +34,7 @@
       map = Cbor.decodeMap(answer);
     } catch (BadInput e) {
       if (status == 200) {
-        log.warn("{}: unreadable answer: {}", service, e.getMessage());
+        MALFORMED.tell(service + ": unreadable answer", e.getMessage());
         then.take(0, null);
         return;
       }
--- a/src/main/java/io/tansystack/jobs/Lookup.java
+++ b/src/main/java/io/tansystack/jobs/Lookup.java
@@ -7,11 +7,11 @@
 import io.tansystack.store.StoreClient.Got;
 import io.tansystack.store.StoreClient;
 import io.tansystack.wire.BadInput;
+import io.tansystack.wire.Malformed;
 import io.tansystack.wire.StoreWire.Change;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.function.Consumer;
-import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
@@ -20,7 +20,7 @@
  * only a copy of the records that holds all that was committed before the question may deny a job.
  */
 final class Lookup {
-  private static final Logger log = LoggerFactory.getLogger(Lookup.class);
+  private final Malformed malformed = new Malformed(LoggerFactory.getLogger(Lookup.class));
   private static final Duration ASK_AFTER = Duration.ofMillis(200);
   private static final Duration LONGEST_WAIT = Duration.ofMillis(700);
 
@@ -128,7 +128,7 @@
       JobRecord.Phase phase = record.active() ? world.finalPhase(id) : null;
       found.take(phase == null ? record : JobRecord.outcome(phase), change.version());
     } catch (BadInput e) {
-      log.error("record of job={} is unreadable: {}", id, e.getMessage());
+      malformed.tell("record of job=" + id, e.getMessage());
       found.unsure("the record is unreadable");
     }
   }
--- a/src/main/java/io/tansystack/peers/PeerLink.java
+++ b/src/main/java/io/tansystack/peers/PeerLink.java
@@ -11,6 +11,7 @@
 import io.tansystack.settings.PlatformSettings.Peer;
 import io.tansystack.wire.BadInput;
 import io.tansystack.wire.Cbor;
+import io.tansystack.wire.Malformed;
 import io.tansystack.wire.Read;
 import io.tansystack.workers.View;
 import java.io.IOException;
@@ -24,7 +25,6 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
-import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
@@ -32,7 +32,7 @@
  * may act. All of it are hints; no rule rests on any message to arrive.
  */
 public final class PeerLink {
-  private static final Logger log = LoggerFactory.getLogger(PeerLink.class);
+  private final Malformed malformed = new Malformed(LoggerFactory.getLogger(PeerLink.class));
   private static final Duration BEAT = Duration.ofMillis(500);
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
 
@@ -228,7 +228,7 @@
             try {
               heard(link, Read.map(msgpack.readTree(answer), "answer"));
             } catch (IOException | BadInput e) {
-              log.warn("peer link: unreadable answer of {}: {}", link.peer.label(), e.getMessage());
+              malformed.tell("peer link: unreadable answer of " + link.peer.label(), e.getMessage());
             }
             if (!link.pending.isEmpty()) {
               sendSoon(link);
@@ -318,7 +318,7 @@
       }
       reply.send(200, encode(about(valid.getAsBoolean())));
     } catch (IOException | BadInput | RuntimeException e) {
-      log.warn("peer link: unreadable message: {}", e.getMessage());
+      malformed.tell("peer link: unreadable message", e.getMessage());
       reply.send(400, new byte[0]);
     }
   }
--- a/src/main/java/io/tansystack/store/StoreClient.java
+++ b/src/main/java/io/tansystack/store/StoreClient.java
@@ -5,6 +5,7 @@
 import io.tansystack.http.Loop;
 import io.tansystack.wire.BadInput;
 import io.tansystack.wire.Cbor;
+import io.tansystack.wire.Malformed;
 import io.tansystack.wire.StoreWire;
 import io.tansystack.wire.StoreWire.Change;
 import io.tansystack.wire.StoreWire.Condition;
@@ -21,6 +22,7 @@
 /** The state service's client. Every callback runs on the loop. */
 public final class StoreClient {
   private static final Logger log = LoggerFactory.getLogger(StoreClient.class);
+  private final Malformed malformed = new Malformed(log);
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
   private static final int MAX_QUEUED = 64;
 
@@ -93,17 +95,18 @@
         null,
         TIMEOUT,
         (status, map) -> {
-          if (status == 404) {
-            got.value(null);
-            return;
-          }
           try {
+            if (status == 404) {
+              StoreWire.readRevision(map); // Of the service's own making, or it proves no absence.
+              got.value(null);
+              return;
+            }
             if (status == 200) {
               got.value(StoreWire.readKey(map));
               return;
             }
           } catch (BadInput e) {
-            log.warn("state service: unreadable answer for {}: {}", key, e.getMessage());
+            malformed.tell("state service: unreadable answer for " + key, e.getMessage());
           }
           got.failed();
         });
@@ -208,7 +211,8 @@
                 then.done(Result.UNKNOWN, 0);
               }
             }
-            case 409 -> then.done(Result.CONFLICT, 0);
+            // Of the service's own making, or it does not tell that nothing was changed.
+            case 409 -> then.done(StoreWire.tellsRevision(map) ? Result.CONFLICT : Result.UNKNOWN, 0);
             case 400 -> {
               String error = map == null ? "" : map.path("error").asText();
               if (error.equals("no such lease")) {
--- a/src/main/java/io/tansystack/store/Watcher.java
+++ b/src/main/java/io/tansystack/store/Watcher.java
@@ -2,6 +2,7 @@
 
 import io.tansystack.http.Loop;
 import io.tansystack.wire.BadInput;
+import io.tansystack.wire.Malformed;
 import io.tansystack.wire.StoreWire;
 import io.tansystack.wire.StoreWire.Change;
 import io.tansystack.wire.StoreWire.Changes;
@@ -19,6 +20,7 @@
  */
 public final class Watcher {
   private static final Logger log = LoggerFactory.getLogger(Watcher.class);
+  private final Malformed malformed = new Malformed(log);
   private static final Duration HOLD = Duration.ofMillis(1500);
   private static final Duration PAGE_TIMEOUT = Duration.ofSeconds(4);
   private static final Duration RETRY = Duration.ofMillis(250);
@@ -90,7 +92,7 @@
               synced.accept(sentAt);
             }
           } catch (BadInput e) {
-            log.warn("state service: unreadable list: {}", e.getMessage());
+            malformed.tell("state service: unreadable list", e.getMessage());
           }
         });
   }
@@ -141,7 +143,7 @@
             loop.after(RETRY, () -> load(all, after, firstRevision, startedAt));
             return;
           } catch (BadInput e) {
-            log.warn("state service: unreadable list: {}", e.getMessage());
+            malformed.tell("state service: unreadable list", e.getMessage());
           }
           loop.after(RETRY, this::start);
         });
@@ -173,7 +175,7 @@
               return;
             }
           } catch (BadInput e) {
-            log.warn("state service: unreadable watch: {}", e.getMessage());
+            malformed.tell("state service: unreadable watch", e.getMessage());
           }
           loop.after(RETRY, this::start);
         });
@@ -205,7 +207,7 @@
             }
           } catch (BadInput e) {
             // Nothing may be skipped: what can't be read is read again as a whole.
-            log.warn("state service: unreadable watch: {}", e.getMessage());
+            malformed.tell("state service: unreadable watch", e.getMessage());
             loop.after(RETRY, this::start);
             return;
           }
--- a/src/main/java/io/tansystack/wire/StoreWire.java
+++ b/src/main/java/io/tansystack/wire/StoreWire.java
@@ -44,9 +44,17 @@
   }
 
   public static long readRevision(ObjectNode map) throws BadInput {
+    if (map == null) {
+      throw new BadInput("Ledger: missing");
+    }
     return Read.integer(map, "Ledger");
   }
 
+  /** Whether the answer, which may be null, names the revision, as every answer of a transaction does. */
+  public static boolean tellsRevision(ObjectNode map) {
+    return map != null && map.path("Ledger").isIntegralNumber();
+  }
+
   public static String keyPath(String key) {
     return "/store/" + key;
   }
--- a/src/main/java/io/tansystack/workers/Orders.java
+++ b/src/main/java/io/tansystack/workers/Orders.java
@@ -8,6 +8,7 @@
 import io.tansystack.recovery.Squaring;
 import io.tansystack.wire.BadInput;
 import io.tansystack.wire.Command;
+import io.tansystack.wire.Malformed;
 import io.tansystack.wire.Report;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -24,6 +25,7 @@
  */
 final class Orders {
   private static final Logger log = LoggerFactory.getLogger(Orders.class);
+  private final Malformed malformed = new Malformed(log);
   private static final Duration ORDERS_TIMEOUT = Duration.ofSeconds(4);
   private static final Duration HALT_AGAIN = Duration.ofSeconds(5);
   static final Duration FORGET_WAIT = Duration.ofSeconds(6);
@@ -151,17 +153,19 @@
             machine.ordersInFlight = false;
             machine.failures = 0;
             try {
-              if (status == 200 || status == 409) {
-                Report report = Report.read(body);
-                if (report.machine().equals(machine.name)) {
-                  answered.take(machine, report);
-                }
-              } else {
-                log.warn("machine={} answered commands with {}", machine.name, status);
-                machine.quietUntil = loop.now().plusSeconds(1);
+              if (status != 200 && status != 409) {
+                throw new BadInput("status " + status);
               }
+              Report report = Report.read(body);
+              if (!report.machine().equals(machine.name)) {
+                throw new BadInput("Berth: another machine's");
+              }
+              answered.take(machine, report);
             } catch (BadInput e) {
-              log.warn("machine={} sent an unreadable answer: {}", machine.name, e.getMessage());
+              // Nobody knows what became of the commands, and the newest report may be older than they are:
+              // what it doesn't list would be taken for not there, though it has just been launched.
+              malformed.tell("machine=" + machine.name + " answered commands", e.getMessage());
+              machine.quietUntil = loop.now().plusSeconds(1);
               machine.doubtfulToken = token;
             }
             if (status == 409) {
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -23,6 +23,7 @@
 import io.tansystack.wire.Command;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.MachineType;
+import io.tansystack.wire.Malformed;
 import io.tansystack.wire.Report;
 import io.tansystack.wire.ReportHead;
 import java.time.Duration;
@@ -35,7 +36,6 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
-import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
@@ -48,7 +48,7 @@
  * without an answer may still arrive, so it is followed by a new claim, whose token makes it void.
  */
 public final class WorkerDesk {
-  private static final Logger log = LoggerFactory.getLogger(WorkerDesk.class);
+  private final Malformed malformed = new Malformed(LoggerFactory.getLogger(WorkerDesk.class));
 
   /** More machines than this part falling silent at once speaks of us or the network, not of them. */
   public static final double MASS = 0.34;
@@ -147,7 +147,7 @@
       OwnedMachine machine = head == null ? null : machines.get(head.machine());
       report = machine == null ? Report.read(body) : machine.read(head, body);
     } catch (BadInput e) {
-      log.warn("unreadable report: {}", e.getMessage());
+      malformed.tell("unreadable report", e.getMessage());
       reply.send(400, Cbor.encode(Answers.error(e.getMessage())));
       return;
     }
@@ -235,7 +235,7 @@
     try {
       machine.address = Addresses.parse(report.address());
     } catch (BadInput e) {
-      log.warn("machine={} can't be given commands: {}", machine.name, e.getMessage());
+      malformed.tell("machine=" + machine.name + " can't be given commands", e.getMessage());
       machine.address = null;
     }
     machine.history.observe(report, loop.now(), this::spec);
--- a/src/test/java/io/tansystack/sim/SimNetwork.java
+++ b/src/test/java/io/tansystack/sim/SimNetwork.java
@@ -239,13 +239,33 @@
                           () -> {
                             if (!over[0] && !lost) {
                               over[0] = true;
-                              outcome.answer(status, answer);
+                              garble(to, path, status, answer, outcome);
                             }
                           }));
       loop.after(way, () -> deliver(to, method, path, body, back));
     };
   }
 
+  private void garble(
+      InetSocketAddress from, String path, int status, byte[] answer, HttpCaller.Outcome outcome) {
+    String who = from.equals(STORE) ? "store" : from.equals(CLOUD) ? "cloud" : from.getPort() >= 9000 ? "workers" : "peers";
+    boolean meant = (garbledBy.isEmpty() || garbledBy.equals(who)) && path.startsWith(garbledPath);
+    if (!meant || !drawn(garbled)) {
+      outcome.answer(status, answer);
+      return;
+    }
+    ObjectNode wrong = Cbor.map().put("Ledger", "x").put("Stamp", -1).put("Berths", 3).put("Berth", 7);
+    wrong.putArray("Pairs").add("none");
+    switch (garbledAs >= 0 ? garbledAs : random.nextInt(6)) {
+      case 0 -> outcome.answer(status, new byte[] {(byte) 0xff, 3, 9});
+      case 1 -> outcome.answer(status, new byte[0]);
+      case 2 -> outcome.answer(status, Cbor.encode(Cbor.map()));
+      case 3 -> outcome.answer(status, Cbor.encode(wrong));
+      case 4 -> outcome.answer(500, answer);
+      default -> outcome.answer(404, Cbor.encode(Cbor.map()));
+    }
+  }
+
   private boolean ofKind(byte[] transaction) {
     return (overLimit || lateWrites > 0 || answersLost > 0)
         && decode(transaction).get("Then").toString().contains("\"" + writeKind);
--- a/src/test/java/io/tansystack/sim/SimTroubles.java
+++ b/src/test/java/io/tansystack/sim/SimTroubles.java
@@ -47,6 +47,20 @@
   /** By how much the time of day of a controller may be wrong, either way; each start draws its own. */
   Duration clockOff = Duration.ZERO;
 
+  /** How often an answer can't be read, or has a status that nobody knows, though the request was carried out. */
+  double garbled;
+
+  /** How often a machine refuses a launch for want of room, though there is some. */
+  double launchesRefused;
+
+  /** Whose answers: "store", "cloud", "workers", "peers", or "" for all. */
+  String garbledBy = "";
+
+  /** Only answers to requests to paths of this prefix; and in which of the ways, -1 for any. */
+  String garbledPath = "";
+
+  int garbledAs = -1;
+
   /** How often an exchange goes wrong. */
   double trouble;
 
@@ -115,5 +129,7 @@
     slowReads = Duration.ZERO;
     uncommanded.clear();
     held = 0;
+    garbled = 0;
+    launchesRefused = 0;
   }
 }
--- a/src/test/java/io/tansystack/sim/StandInWorker.java
+++ b/src/test/java/io/tansystack/sim/StandInWorker.java
@@ -141,7 +141,8 @@
     TaskId task = new TaskId(id.substring(0, id.indexOf('/')), Integer.parseInt(id.substring(id.indexOf('/') + 1)));
     boolean busy =
         tasks.values().stream().anyMatch(t -> t.task().equals(task) && !t.exited());
-    if (busy || !hasRoomFor(network.uploaded.get(task.job()))) {
+    boolean refuses = network.launchesRefused > 0 && network.random.nextDouble() < network.launchesRefused;
+    if (busy || refuses || !hasRoomFor(network.uploaded.get(task.job()))) {
       tasks.put(
           key, new TaskReport(task, attempt, State.EXITED, busy ? Cause.BUSY : Cause.NO_ROOM, false));
       return;
--- a/src/test/java/io/tansystack/sim/TakeoverTest.java
+++ b/src/test/java/io/tansystack/sim/TakeoverTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -162,6 +163,74 @@
     allIsWell("up in " + bootMs + " ms");
   }
 
+  /**
+   * Answers that can't be read, or with a status that nobody knows, though what was asked for was done: they
+   * prove nothing, and nobody is told that a job isn't known.
+   */
+  @ParameterizedTest
+  @CsvSource({"store, 0.05", "store, 0.3", "cloud, 0.5", "workers, 0.2", "workers, 0.7", "peers, 0.5", "'', 0.15"})
+  void answersThatCannotBeReadProveNothing(String by, double share) throws Exception {
+    random = new Random(by.hashCode());
+    users().closeLooks = true;
+    run = Duration.ofSeconds(10);
+    running(3, 14, 6, 3);
+    garbledBy = by;
+    garbled = share;
+    for (int round = 0; round < 6; round++) {
+      work(2, 3);
+      users().cancel(id(random.nextInt(jobs)), Users.ANY);
+      if (round % 2 == 1) {
+        end(Math.max(0, leader()), 700);
+      }
+      loop.runFor(Duration.ofSeconds(7));
+    }
+    allIsWell(by + " " + share);
+  }
+
+  /**
+   * For jobs that ended long ago a start has the state service's word alone. A 404 that is not the service's own
+   * (it doesn't tell the revision) is not taken for that.
+   */
+  @Test
+  void aDenialOfAnotherMakingDeniesNoJob() throws Exception {
+    run = Duration.ofSeconds(3);
+    running(3, 8, 8, 1);
+    loop.runFor(Duration.ofSeconds(60));
+    assertTrue(store.keys("ts-ended/") >= 8, "put away");
+    end(1, 100);
+    loop.runFor(Duration.ofSeconds(6));
+    garbledBy = "store";
+    garbledPath = "/store/";
+    garbledAs = 5;
+    garbled = 1;
+    for (int job = 0; job < 8; job++) {
+      users().lookClosely(users().jobs.get(id(job)));
+      loop.runFor(Duration.ofSeconds(3));
+    }
+    allIsWell("denials");
+  }
+
+  /**
+   * Launches are carried out and answered with a status that nobody knows, and their gang is broken up before
+   * the machine reports again, since another one refuses: the report of before doesn't list the task, and must
+   * not be taken for proof that it isn't there, or the next attempt would start beside it.
+   */
+  @Test
+  void launchesAnsweredAsNobodyKnowsMayHaveBeenCarriedOut() throws Exception {
+    random = new Random(2);
+    running(3, 14, 3, 1);
+    garbledBy = "workers";
+    garbledAs = 4;
+    garbled = 0.6;
+    launchesRefused = 0.3;
+    run = Duration.ofSeconds(9);
+    for (int round = 0; round < 25; round++) {
+      submit("vision", Shape.GANG, Priority.NORMAL, 3, 3, 0, null, false, false);
+      loop.runFor(Duration.ofMillis(900 + random.nextInt(3000)));
+    }
+    allIsWell("launches answered with 500");
+  }
+
   /** Back at once, one by one, one alone, in an outage; cancelled before, meanwhile (asked for) and after. */
   @ParameterizedTest
   @CsvSource({"38, 0, false", "38, 3000, false", "60, 9000, true", "90, 0, true", "35, 700, true", "45, 25000, false"})
