--- a/src/main/java/io/tansystack/recovery/OrderPace.java
+++ b/src/main/java/io/tansystack/recovery/OrderPace.java
@@ -39,7 +39,7 @@
   public OrderPace(Loop loop, Consumer<String> turn) {
     this.loop = loop;
     this.turn = turn;
-    for (int i = 0; i <= Squaring.FORGETS; i++) {
+    for (int i = 0; i <= Reconciliation.FORGETS; i++) {
       waiting.add(new LinkedHashSet<>());
     }
   }
@@ -79,12 +79,12 @@
   /**
    * Whether so many orders may go to the machine now. If not, its turn comes.
    *
-   * @param urgency as {@link Squaring#urgency} tells
+   * @param urgency as {@link Reconciliation#urgency} tells
    */
   public boolean mayGo(String machine, int urgency, int orders) {
     boolean first = !active() || machine.equals(turnOf) || nobodyWaits(urgency);
     boolean goes = first && (!active() || budget.take(orders, true, loop.now()));
-    if (goes || urgency == Squaring.HALTS) {
+    if (goes || urgency == Reconciliation.HALTS) {
       waiting.forEach(names -> names.remove(machine));
       return true;
     }
--- a/src/main/java/io/tansystack/recovery/Squaring.java
+++ b/src/main/java/io/tansystack/recovery/Reconciliation.java
@@ -35,7 +35,7 @@
  * @param mostUrgent the priority of the first launch; null for none
  * @param absent attempts that are unwanted and not there
  */
-public record Squaring(
+public record Reconciliation(
     List<Command> halts,
     List<Command> launches,
     Priority mostUrgent,
@@ -60,7 +60,7 @@
    * @param listed that report's lines
    * @param placed what is recorded on the machine
    */
-  public static Squaring of(
+  public static Reconciliation of(
       long session, Map<Attempt, TaskReport> listed, List<Placed> placed) {
     Map<Attempt, Recorded> recorded = new LinkedHashMap<>();
     for (Placed p : placed) {
@@ -109,7 +109,7 @@
       launches.add(new Command(Command.Op.START, attempt.task(), attempt.number(), 0));
     }
     Priority mostUrgent = missing.isEmpty() ? null : missing.get(0).getValue().priority();
-    return new Squaring(halts, launches, mostUrgent, forgets, absent);
+    return new Reconciliation(halts, launches, mostUrgent, forgets, absent);
   }
 
   /** How urgent the most urgent of it is: {@link #HALTS}, then launches by priority, {@link #FORGETS}. */
@@ -118,11 +118,11 @@
   }
 
   /** Without the halts that were sent lately and may still be under way. */
-  public Squaring without(Predicate<Attempt> haltedLately) {
+  public Reconciliation without(Predicate<Attempt> haltedLately) {
     List<Command> left =
         halts.stream()
             .filter(halt -> !haltedLately.test(new Attempt(halt.task(), halt.attempt())))
             .toList();
-    return new Squaring(left, launches, mostUrgent, forgets, absent);
+    return new Reconciliation(left, launches, mostUrgent, forgets, absent);
   }
 }
--- a/src/main/java/io/tansystack/recovery/Start.java
+++ b/src/main/java/io/tansystack/recovery/Start.java
@@ -14,7 +14,7 @@
 
 /**
  * Tells the operators how a start goes: one line when it begins, one every few seconds with what it
- * waits for, and one when this controller's machines are squared with the records. Nothing waits for a
+ * waits for, and one when this controller's machines are reconciled with the records. Nothing waits for a
  * person to read them.
  */
 public final class Start {
@@ -83,13 +83,13 @@
           standing.get().machines(),
           world.jobs().size());
       if (over) {
-        return; // There is nothing to be squared.
+        return; // There is nothing to be reconciled.
       }
     }
     Standing s = standing.get();
     Map<String, Integer> away = away();
-    boolean squared = s.heard == s.machines && s.waiting == 0 && away.isEmpty();
-    over = squared || now.minus(began).compareTo(longest) > 0;
+    boolean reconciled = s.heard == s.machines && s.waiting == 0 && away.isEmpty();
+    over = reconciled || now.minus(began).compareTo(longest) > 0;
     if (over) {
       log.info(
           "start over after {} ms: {} of {} machines have reported, {} launches, {} halts, {} forgets,"
@@ -101,7 +101,7 @@
           s.halts,
           s.forgets,
           s.lost,
-          squared ? "" : ", and it did not wait longer for " + left(s, away));
+          reconciled ? "" : ", and it did not wait longer for " + left(s, away));
     } else if (now.minus(toldAt).compareTo(TELL_EVERY) >= 0) {
       toldAt = now;
       log.info("start: waits for {}", left(s, away));
--- a/src/main/java/io/tansystack/workers/Orders.java
+++ b/src/main/java/io/tansystack/workers/Orders.java
@@ -5,7 +5,7 @@
 import io.tansystack.http.Loop;
 import io.tansystack.recovery.Attempt;
 import io.tansystack.recovery.OrderPace;
-import io.tansystack.recovery.Squaring;
+import io.tansystack.recovery.Reconciliation;
 import io.tansystack.wire.BadInput;
 import io.tansystack.wire.Command;
 import io.tansystack.wire.Malformed;
@@ -70,15 +70,15 @@
   }
 
   /** What the machine's newest report and the records differ in. */
-  Squaring difference(OwnedMachine machine) {
-    return Squaring.of(machine.latest.session(), machine.listed, world.placedOn(machine.name));
+  Reconciliation difference(OwnedMachine machine) {
+    return Reconciliation.of(machine.latest.session(), machine.listed, world.placedOn(machine.name));
   }
 
   /**
    * Attempts that will not be launched under this token: launches leave them out from the moment at
    * which the record says that they are unwanted.
    */
-  static List<View.Void> voids(Squaring difference) {
+  static List<View.Void> voids(Reconciliation difference) {
     List<View.Void> voids = new ArrayList<>();
     for (Attempt a : difference.absent()) {
       voids.add(new View.Void(a.task().job(), a.task().index(), a.number()));
@@ -87,9 +87,9 @@
   }
 
   /** Sends what the machine lacks, whose newest report shows the token. */
-  void tend(OwnedMachine machine, Squaring difference, long token, Duration now) {
+  void tend(OwnedMachine machine, Reconciliation difference, long token, Duration now) {
     machine.halted.keySet().retainAll(machine.listed.keySet());
-    Squaring wanted =
+    Reconciliation wanted =
         difference.without(
             attempt -> {
               Duration haltedAt = machine.halted.get(attempt);
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -11,8 +11,8 @@
 import io.tansystack.http.HttpServer.Reply;
 import io.tansystack.http.Loop;
 import io.tansystack.recovery.OrderPace;
+import io.tansystack.recovery.Reconciliation;
 import io.tansystack.recovery.Recovery;
-import io.tansystack.recovery.Squaring;
 import io.tansystack.recovery.Start;
 import io.tansystack.schedule.MachineHistory;
 import io.tansystack.store.StoreClient;
@@ -365,7 +365,7 @@
     }
     boolean shown = latest.token() == token;
     boolean quiet = !machine.ordersInFlight;
-    Squaring difference = shown && quiet ? orders.difference(machine) : null;
+    Reconciliation difference = shown && quiet ? orders.difference(machine) : null;
     List<View.Void> voids = difference == null ? List.of() : Orders.voids(difference);
     telling.tell(machine, token, voids, silences.of(machine, now), now);
     boolean reachable = quiet && machine.address != null && now.compareTo(machine.quietUntil) >= 0;
--- a/src/test/java/io/tansystack/recovery/SquaringTest.java
+++ b/src/test/java/io/tansystack/recovery/ReconciliationTest.java
@@ -24,7 +24,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** What follows from a machine's records and its report, on machine n-1 in session 2. */
-class SquaringTest {
+class ReconciliationTest {
   private static final String M = "n-1";
   private static final int SESSION = 2;
 
@@ -47,13 +47,13 @@
     };
   }
 
-  private static Squaring square(JobRecord record, Map<Attempt, TaskReport> listed) {
+  private static Reconciliation reconcile(JobRecord record, Map<Attempt, TaskReport> listed) {
     World world = new World(touched -> {});
     world.changes(List.of(new Change(World.jobKey("wk-1"), record.write(), 5)), 5);
-    return Squaring.of(SESSION, listed, world.placedOn(M));
+    return Reconciliation.of(SESSION, listed, world.placedOn(M));
   }
 
-  private static String told(Squaring s) {
+  private static String told(Reconciliation s) {
     StringBuilder told = new StringBuilder();
     s.halts().forEach(c -> told.append("halt#").append(c.attempt()).append(c.graceS() > 0 ? " saving" : ""));
     s.launches().forEach(c -> told.append("launch#").append(c.attempt()));
@@ -103,9 +103,9 @@
           new Attempt(task, attempt),
           new TaskReport(task, attempt, State.valueOf(words[1]), cause, false));
     }
-    Squaring first = square(record(said, shape, checkpointS, session), listed);
+    Reconciliation first = reconcile(record(said, shape, checkpointS, session), listed);
     assertEquals(follows, told(first));
-    assertEquals(first, square(record(said, shape, checkpointS, session), listed), "safe to repeat");
+    assertEquals(first, reconcile(record(said, shape, checkpointS, session), listed), "safe to repeat");
   }
 
   @Test
@@ -124,15 +124,15 @@
     TaskId stray = new TaskId("wk-7", 0);
     Map<Attempt, TaskReport> listed =
         Map.of(new Attempt(stray, 1), new TaskReport(stray, 1, State.RUNNING, null, false));
-    Squaring all = Squaring.of(SESSION, listed, world.placedOn(M));
-    assertEquals(Squaring.HALTS, all.urgency());
-    Squaring rest = all.without(attempt -> attempt.task().equals(stray));
+    Reconciliation all = Reconciliation.of(SESSION, listed, world.placedOn(M));
+    assertEquals(Reconciliation.HALTS, all.urgency());
+    Reconciliation rest = all.without(attempt -> attempt.task().equals(stray));
     assertEquals(List.of(), rest.halts());
     assertEquals(
         List.of("wk-0", "wk-0", "wk-2", "wk-2", "wk-3", "wk-3"),
         rest.launches().stream().map(Command::task).map(TaskId::job).toList());
-    assertTrue(rest.urgency() > Squaring.HALTS && rest.urgency() < Squaring.FORGETS);
+    assertTrue(rest.urgency() > Reconciliation.HALTS && rest.urgency() < Reconciliation.FORGETS);
     assertEquals(
-        Squaring.FORGETS, Squaring.of(SESSION, Map.of(), List.of()).urgency());
+        Reconciliation.FORGETS, Reconciliation.of(SESSION, Map.of(), List.of()).urgency());
   }
 }
--- a/src/test/java/io/tansystack/recovery/StartPaceTest.java
+++ b/src/test/java/io/tansystack/recovery/StartPaceTest.java
@@ -46,12 +46,12 @@
   void ordersAreSpreadTheUrgentFirstAndHaltsAtOnce() {
     pace.begin(5, Duration.ofSeconds(20)); // 30 a second, 7 at once.
     for (int i = 0; i < 30; i++) {
-      lack("forget-" + i, Squaring.FORGETS, 4);
+      lack("forget-" + i, Reconciliation.FORGETS, 4);
     }
     for (int i = 0; i < 30; i++) {
       lack("launch-" + i, 1 + Priority.PRODUCTION.ordinal(), 4);
     }
-    lack("halt", Squaring.HALTS, 4);
+    lack("halt", Reconciliation.HALTS, 4);
     assertTrue(sent.contains("halt"));
     assertTrue(sent.size() < 6, sent.toString());
     loop.runFor(Duration.ofSeconds(1));
@@ -67,11 +67,11 @@
 
   @Test
   void withNoStartNothingIsHeldUpAndItsEndLetsAllGo() {
-    lack("before", Squaring.FORGETS, 1000);
+    lack("before", Reconciliation.FORGETS, 1000);
     assertEquals(List.of("before"), sent);
     pace.begin(0.1, Duration.ofSeconds(5));
     for (int i = 0; i < 50; i++) {
-      lack("m-" + i, Squaring.FORGETS, 4);
+      lack("m-" + i, Reconciliation.FORGETS, 4);
     }
     loop.runFor(Duration.ofSeconds(4));
     assertTrue(sent.size() < 10);
--- a/src/test/java/io/tansystack/sim/StandInWorker.java
+++ b/src/test/java/io/tansystack/sim/StandInWorker.java
@@ -44,7 +44,7 @@
 
   int ordersTaken;
 
-  /** Orders that a squared fleet would not have needed. */
+  /** Orders that a reconciled fleet would not have needed. */
   final List<String> needless = new ArrayList<>();
 
   StandInWorker(
--- a/src/test/java/io/tansystack/sim/StartTest.java
+++ b/src/test/java/io/tansystack/sim/StartTest.java
@@ -16,7 +16,7 @@
 
 /**
  * The start after all controllers went down: they come back one after the other, alone or crossed with
- * other failures. Besides the rules there must be no storm: no order that a squared fleet would not
+ * other failures. Besides the rules there must be no storm: no order that a reconciled fleet would not
  * need, no claim of a machine whose owner comes back in time, no rental and no return.
  */
 class StartTest extends SimCluster {
