--- a/src/test/java/io/tansystack/sim/SimCluster.java
+++ b/src/test/java/io/tansystack/sim/SimCluster.java
@@ -16,7 +16,7 @@
 import java.util.stream.LongStream;
 
 /** A cluster and its users: what they ask, and what must hold at any moment. */
-abstract class SimCluster extends SimNetwork {
+abstract class SimCluster extends SimFleet {
   /**
    * The seeds that a test plays: a few, or those that the property {@code tansystack.seeds} names as
    * {@code FROM-TO}, for many to be played once.
--- a/src/test/java/io/tansystack/sim/SimNetwork.java
+++ b/src/test/java/io/tansystack/sim/SimNetwork.java
@@ -1,6 +1,5 @@
 package io.tansystack.sim;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.cli.Controller;
 import io.tansystack.http.HttpCaller;
@@ -100,7 +99,7 @@
   }
 
   /** Whether what is in one zone does not reach the other; the state service, cloud and users are in none. */
-  private boolean cutOff(String one, String other) {
+  boolean cutOff(String one, String other) {
     return cutZone != null && !one.equals(other) && (cutZone.equals(one) || cutZone.equals(other));
   }
 
@@ -271,7 +270,7 @@
         && decode(transaction).get("Then").toString().contains("\"" + writeKind);
   }
 
-  private boolean drawn(double share) {
+  boolean drawn(double share) {
     return share > 0 && random.nextDouble() < share;
   }
 
@@ -358,116 +357,6 @@
     return run;
   }
 
-  String addWorker(String zone) {
-    return addWorker(types.get(0), zone, false);
-  }
-
-  String addWorker(SimType type, String zone, boolean spot) {
-    String name = String.format("n-%06d", machineCounter);
-    StandInWorker worker =
-        new StandInWorker(
-            this, name, "127.0.0.1:" + (9000 + machineCounter), type, zone, spot,
-            Duration.ofMillis((long) (setting("lease_s") * 1000)));
-    machineCounter++;
-    workers.put(name, worker);
-    loop.after(boot, () -> report(worker));
-    return name;
-  }
-
-  void report(StandInWorker worker) {
-    if (worker.dead) {
-      return;
-    }
-    if (worker.hangs()) {
-      loop.after(worker.hungUntil.minus(loop.now()), () -> report(worker));
-      return;
-    }
-    Duration sentAt = loop.now();
-    long session = worker.session;
-    boolean[] over = {false};
-    Controller controller = controllers.get(worker.target);
-    Runnable next = () -> {
-      worker.target = (worker.target + 1) % controllerCount;
-      loop.after(Duration.ofSeconds(1), () -> report(worker));
-    };
-    loop.after(Duration.ofSeconds(4), () -> {
-      if (!over[0]) {
-        over[0] = true;
-        next.run();
-      }
-    });
-    if (controller == null) {
-      over[0] = true; // Nobody listens where a process has ended.
-      next.run();
-      return;
-    }
-    if (silent.contains(worker.target)
-        || cutOff(worker.zone, zoneOf(worker.target))
-        || deafTo == worker.target
-        || unheard.contains(worker.name)
-        || random.nextDouble() < trouble) {
-      return;
-    }
-    boolean lost = random.nextDouble() < trouble;
-    byte[] body = Cbor.encode(worker.report().write());
-    if (drawn(copies)) {
-      if (copiesForNext) {
-        copyForNext(body, leader());
-      } else {
-        copyLater(body);
-      }
-    }
-    Reply reply = (status, bytes, r) -> {
-      if (over[0] || lost || worker.dead || worker.hangs() || unhearing.contains(worker.name)) {
-        return;
-      }
-      over[0] = true;
-      if (status == 200) {
-        worker.answered(status, decode(bytes), sentAt, session);
-        loop.after(Duration.ofMillis(1500), () -> report(worker));
-      } else if (status == 421 && decode(bytes).has("Dispatcher")) {
-        worker.target = Integer.parseInt(decode(bytes).get("Dispatcher").asText().substring(2));
-        loop.after(Duration.ofMillis(300), () -> report(worker));
-      } else {
-        next.run();
-      }
-    };
-    processes.get(worker.target).run(() -> controller.front("POST", "/v1/report", body, reply));
-  }
-
-  /** From seconds to well over a lease later, and whoever answers, nobody hears it. */
-  private void copyLater(byte[] body) {
-    loop.after(
-        Duration.ofMillis(2000 + random.nextInt(70_000)), () -> copyTo(random.nextInt(controllerCount), body));
-  }
-
-  /** Kept until another controller leads, then it comes there, and soon after to all others. */
-  private void copyForNext(byte[] body, int leader) {
-    if (!copiesForNext) {
-      return;
-    }
-    int now = leader();
-    if (now < 0 || now == leader) {
-      loop.after(Duration.ofMillis(50), () -> copyForNext(body, leader));
-      return;
-    }
-    copyTo(now, body);
-    for (int i = 0; i < controllerCount; i++) {
-      int other = i;
-      loop.after(Duration.ofMillis(random.nextInt(3000)), () -> copyTo(other, body));
-    }
-  }
-
-  /** Who holds the fleet; -1 for nobody. */
-  int leader() {
-    JsonNode fleet = store.values.get("ts/fleet");
-    return fleet == null ? -1 : Integer.parseInt(fleet.get("label").asText().substring(2));
-  }
-
-  private void copyTo(int to, byte[] body) {
-    Controller controller = controllers.get(to);
-    if (controller != null && !silent.contains(to)) {
-      processes.get(to).run(() -> controller.front("POST", "/v1/report", body, (s, b, r) -> {}));
-    }
-  }
+  /** Rents a machine; tells its name. */
+  abstract String addWorker(SimType type, String zone, boolean spot);
 }
