--- a/src/main/java/io/tansystack/cli/Main.java
+++ b/src/main/java/io/tansystack/cli/Main.java
@@ -5,10 +5,13 @@
 import io.tansystack.settings.SettingsException;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
 
 /** The command line of the service. */
 @Command(
@@ -23,7 +26,6 @@
 
   @Option(
       names = "--config",
-      required = true,
       paramLabel = "FILE",
       description = "the settings file that the platform hands over (TOML)")
   private Path config;
@@ -45,8 +47,14 @@
       description = "run for so long and exit with 0: the build makes the class-data archive this way")
   private Double exitAfterS;
 
+  @Spec private CommandSpec command;
+
   @Override
   public Integer call() throws InterruptedException {
+    if (config == null) {
+      throw new CommandLine.ParameterException(
+          command.commandLine(), "Missing required option: '--config=FILE'");
+    }
     try {
       Logging.configure(System.getenv("LOG_LEVEL"));
       PlatformSettings platform = PlatformSettings.load(config);
@@ -72,7 +80,12 @@
   }
 
   public static void main(String[] args) {
-    int code = new CommandLine(new Main()).execute(args);
+    CommandLine commandLine = new CommandLine(new Main());
+    if (!List.of(args).contains("--config")) {
+      // A controller starts on a fraction of a core and loads nothing that it does not need.
+      commandLine.addSubcommand(new ScaleCommand());
+    }
+    int code = commandLine.execute(args);
     if (code != RUNNING) {
       System.exit(code);
     }
--- a/src/main/java/io/tansystack/emulator/EmulatedCloud.java
+++ b/src/main/java/io/tansystack/emulator/EmulatedCloud.java
@@ -1,80 +1,147 @@
-package io.tansystack.sim;
+package io.tansystack.emulator;
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.http.Loop;
 import io.tansystack.wire.Cbor;
+import io.tansystack.wire.CloudWire;
+import io.tansystack.wire.MachineType;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
 
-/** A stand-in for the cloud, after its published protocol: the network's types of machines, in its zones. */
-final class StandInCloud {
-  private final SimNetwork network;
+/** The cloud after its published protocol: rentals by name, deletions, and a list that lags. */
+public final class EmulatedCloud {
+  /** The machines behind the interface. */
+  public interface MachinePark {
+    List<MachineType> types();
+
+    /** Rents a machine and tells its name; null if none of the kind is left. */
+    String rent(MachineType type, String zone, boolean spot);
+
+    /** The machine and all on it are gone; nothing happens for an unknown name. */
+    void delete(String name);
+
+    /** All machines that were rented and not deleted, in the order of their names. */
+    Collection<EmulatedWorker> rented();
+
+    /** By how much the list is behind. */
+    Duration listLag();
+
+    /** How long after its rental a machine is listed as running. */
+    Duration bootTime(EmulatedWorker machine);
+  }
+
+  private final Loop loop;
+  private final MachinePark park;
 
   /** What was answered to each rental: one name rents once. */
-  final Map<String, ObjectNode> rented = new HashMap<>();
+  private final Map<String, ObjectNode> rentals = new HashMap<>();
 
-  StandInCloud(SimNetwork network) {
-    this.network = network;
+  public EmulatedCloud(Loop loop, MachinePark park) {
+    this.loop = loop;
+    this.park = park;
   }
 
-  private SimNetwork.SimType type(String name) {
-    return network.types.stream().filter(type -> type.name().equals(name)).findFirst().orElseThrow();
+  /** How many requests for machines were carried out. */
+  public int rentals() {
+    return rentals.size();
   }
 
-  void handle(String path, ObjectNode body, BiConsumer<Integer, ObjectNode> reply) {
-    ObjectNode map = Cbor.map();
-    if (path.equals("/machine_types")) {
-      ArrayNode list = map.putArray("Fleets");
-      for (SimNetwork.SimType offered : network.types) {
-        ObjectNode type = list.addObject();
-        type.put("Label", offered.name()).put("Cpus", offered.cpus()).put("Gpus", offered.gpus());
-        type.put("MemGb", offered.memGb()).put("CacheGb", 50).put("PullGbPerS", 1.0);
-        type.put("Price", 1.0 + offered.gpus()).put("MarketPrice", 0.3 + offered.gpus()).put("BootS", 5);
-        network.zones.forEach(type.putArray("Yards")::add);
-      }
-    } else if (path.equals("/machines")) {
-      String charter = body.get("Charter").asText();
-      if (rented.containsKey(charter)) {
-        reply.accept(200, rented.get(charter));
-        return;
+  /** Carries out a request and answers it. */
+  public void handle(String path, ObjectNode body, BiConsumer<Integer, ObjectNode> reply) {
+    switch (path.indexOf('?') < 0 ? path : path.substring(0, path.indexOf('?'))) {
+      case "/machine_types" -> reply.accept(200, types());
+      case "/machines/delete" -> {
+        body.get("Berths").forEach(name -> park.delete(name.asText()));
+        reply.accept(200, Cbor.map());
       }
-      ArrayNode names = map.putArray("Berths");
-      for (int i = 0;
-          i < body.get("HowMany").asInt()
-              && network.workers.size() < network.maxMachines
-              && !network.full.contains(body.get("Yard").asText());
-          i++) {
-        names.add(
-            network.addWorker(
-                type(body.get("Fleet").asText()), body.get("Yard").asText(), body.path("Loaners").asBoolean()));
+      case "/machines" -> {
+        if (body.has("Charter")) {
+          rent(body, reply);
+        } else {
+          reply.accept(200, list(path));
+        }
       }
-      if (names.isEmpty()) {
-        reply.accept(503, Cbor.map().put("error", "no capacity"));
-        return;
+      default -> reply.accept(404, Cbor.map());
+    }
+  }
+
+  private ObjectNode types() {
+    ObjectNode map = Cbor.map();
+    ArrayNode list = map.putArray("Fleets");
+    for (MachineType offered : park.types()) {
+      ObjectNode type = list.addObject();
+      type.put("Label", offered.name()).put("Cpus", offered.cpus()).put("Gpus", offered.gpus());
+      type.put("MemGb", offered.memGb()).put("CacheGb", offered.cacheGb());
+      type.put("PullGbPerS", offered.fetchGbPerS()).put("Price", offered.price());
+      type.put("MarketPrice", offered.spotPrice()).put("BootS", offered.bootS());
+      offered.zones().forEach(type.putArray("Yards")::add);
+    }
+    return map;
+  }
+
+  private void rent(ObjectNode body, BiConsumer<Integer, ObjectNode> reply) {
+    String request = body.get("Charter").asText();
+    if (rentals.containsKey(request)) {
+      reply.accept(200, rentals.get(request));
+      return;
+    }
+    String typeName = body.get("Fleet").asText();
+    MachineType type =
+        park.types().stream().filter(t -> t.name().equals(typeName)).findFirst().orElseThrow();
+    ObjectNode map = Cbor.map();
+    ArrayNode names = map.putArray("Berths");
+    int count = Math.min(body.get("HowMany").asInt(), CloudWire.MAX_RENT);
+    boolean spot = body.path("Loaners").asBoolean();
+    for (int i = 0; i < count; i++) {
+      String name = park.rent(type, body.get("Yard").asText(), spot);
+      if (name == null) {
+        break;
       }
-      rented.put(charter, map);
-    } else if (path.equals("/machines/delete")) {
-      body.get("Berths")
-          .forEach(
-              name -> {
-                StandInWorker worker = network.workers.remove(name.asText());
-                if (worker != null) {
-                  worker.die();
-                }
-              });
-    } else {
-      ArrayNode list = map.putArray("Berths");
-      Duration now = network.loop.now();
-      network.workers.values().stream()
-          .filter(w -> now.minus(w.rentedAt).compareTo(network.listLag) >= 0)
-          .forEach(
-              w ->
-                  list.addObject().put("Uid", w.name).put("Endpoint", w.address).put("Fleet", w.type.name())
-                      .put("Yard", w.zone).put("Loaners", w.spot).put("Status", "running").put("AgeS", 9));
-      map.put("HasNext", false);
+      names.add(name);
     }
+    if (names.isEmpty()) {
+      reply.accept(503, Cbor.map().put("error", "no capacity"));
+      return;
+    }
+    rentals.put(request, map);
     reply.accept(200, map);
   }
+
+  private ObjectNode list(String path) {
+    ObjectNode map = Cbor.map();
+    ArrayNode list = map.putArray("Berths");
+    String since = EmulatedStore.query(path, "Since");
+    Duration at = loop.now().minus(park.listLag());
+    boolean more = false;
+    for (EmulatedWorker machine : park.rented()) {
+      Duration age = at.minus(machine.rentedAt());
+      if (machine.name().compareTo(since) <= 0 || age.isNegative()) {
+        continue;
+      }
+      more = list.size() == CloudWire.MAX_LIST;
+      if (more) {
+        break;
+      }
+      add(list, machine, age);
+    }
+    return map.put("HasNext", more);
+  }
+
+  private void add(ArrayNode list, EmulatedWorker machine, Duration age) {
+    boolean up = age.compareTo(park.bootTime(machine)) >= 0;
+    ObjectNode node =
+        list.addObject()
+            .put("Uid", machine.name())
+            .put("Endpoint", machine.address())
+            .put("Fleet", machine.type().name())
+            .put("Yard", machine.zone())
+            .put("Loaners", machine.spot())
+            .put("AgeS", age.toMillis() / 1000.0);
+    node.put("Status", machine.isDead() ? "failed" : up ? "running" : "starting");
+  }
 }
--- a/src/main/java/io/tansystack/emulator/EmulatedStore.java
+++ b/src/main/java/io/tansystack/emulator/EmulatedStore.java
@@ -1,105 +1,181 @@
-package io.tansystack.sim;
+package io.tansystack.emulator;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.tansystack.records.JobRecord;
+import io.tansystack.http.Loop;
 import io.tansystack.wire.Cbor;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
-import java.util.function.Function;
 
-/** A stand-in for the state service, after its published protocol. */
-final class StandInStore {
+/** The state service after its published protocol, in memory, on one loop. */
+public final class EmulatedStore {
+  /** The service keeps so many changes for watches. */
+  private static final int KEPT_CHANGES = 10_000;
+
+  private static final Duration EXPIRE_EVERY = Duration.ofMillis(50);
+
   private record Entry(ObjectNode value, long version, long lease) {}
 
   private record Event(String key, ObjectNode value, long version) {}
 
-  private record Waiting(String prefix, long since, BiConsumer<Integer, ObjectNode> reply) {}
+  private record Watch(String prefix, long since, BiConsumer<Integer, ObjectNode> reply) {}
 
-  private final SimLoop loop;
-  final TreeMap<String, JsonNode> values = new TreeMap<>();
+  private final Loop loop;
+  private final BooleanSupplier away;
   private final TreeMap<String, Entry> entries = new TreeMap<>();
-  private final List<Event> log = new ArrayList<>();
-  private final List<Waiting> watches = new ArrayList<>();
+  private final List<Event> events = new ArrayList<>();
+  private final Map<String, Long> writesByFolder = new HashMap<>();
+  private final List<Watch> watches = new ArrayList<>();
   private final Map<Long, Duration> leases = new HashMap<>();
-  private final Map<Long, Long> lives = new HashMap<>();
+  private final Map<Long, Long> leaseLives = new HashMap<>();
+  private final TokenBucket requestBucket;
+  private final TokenBucket writeBucket;
+  private StoreLimits limits;
   private long revision;
 
-  /** Items in one page of a list: few, so that a copy is loaded from many. */
-  int pageSize = 5;
+  /** The newest change that watches can no longer be told. */
+  private long forgottenUntil;
 
-  /** Requests that it carries out in a second, as its limit; unlimited where nobody says. */
-  double requestsPerSecond = Double.MAX_VALUE;
-
-  /** Puts and deletes that it carries out in a second; those of transactions whose conditions fail count too. */
-  double writesPerSecond = Double.MAX_VALUE;
+  private long nextLease = 1;
+  private boolean wasAway;
+  private long requests;
+  private long refused;
+  private long writes;
 
-  private double writesLeft;
-  private Duration writesAt = Duration.ZERO;
+  /** @param away whether it serves nobody: then no lease ends, and afterwards each has its full time again */
+  public EmulatedStore(Loop loop, StoreLimits limits, BooleanSupplier away) {
+    this.loop = loop;
+    this.limits = limits;
+    this.away = away;
+    this.requestBucket = new TokenBucket(limits.requestsPerSecond(), loop.now());
+    this.writeBucket = new TokenBucket(limits.writesPerSecond(), loop.now());
+    expireLeases();
+  }
 
-  private double left;
-  private Duration refilledAt = Duration.ZERO;
+  public StoreLimits limits() {
+    return limits;
+  }
 
-  /** Requests that came, and those of them that were over the limit. */
-  int requests;
+  public void limits(StoreLimits newLimits) {
+    limits = newLimits;
+    requestBucket.rate(newLimits.requestsPerSecond(), loop.now());
+    writeBucket.rate(newLimits.writesPerSecond(), loop.now());
+  }
 
-  int refused;
+  /** Requests that came since the start, or since the counts were last reset. */
+  public long requests() {
+    return requests;
+  }
 
-  private long nextLease = 1;
+  /** Requests and transactions that were over a limit. */
+  public long refused() {
+    return refused;
+  }
 
-  private final BooleanSupplier away;
-  private boolean wasAway;
+  /** Puts and deletes that were carried out. */
+  public long writes() {
+    return writes;
+  }
 
-  /** @param away whether it serves nobody: then no lease ends, and afterwards each has its full time again */
-  StandInStore(SimLoop loop, BooleanSupplier away) {
-    this.loop = loop;
-    this.away = away;
-    expire();
+  public void resetCounts() {
+    requests = 0;
+    refused = 0;
+    writes = 0;
   }
 
-  /** A new deployment: nothing was ever written. */
-  void clear() {
+  /** Loses everything, as if nothing had ever been written. */
+  public void clear() {
     entries.clear();
-    values.clear();
-    log.clear();
+    events.clear();
     watches.clear();
   }
 
-  long keys(String prefix) {
-    return entries.keySet().stream().filter(key -> key.startsWith(prefix)).count();
+  /** The value of a key; null if it does not exist. */
+  public ObjectNode value(String key) {
+    Entry entry = entries.get(key);
+    return entry == null ? null : entry.value;
   }
 
-  /** How often something under the prefix was written. */
-  long writes(String prefix) {
-    return log.stream().filter(event -> event.key.startsWith(prefix)).count();
+  /** All keys with a prefix and their values, in order. */
+  public Map<String, JsonNode> values(String prefix) {
+    Map<String, JsonNode> values = new TreeMap<>();
+    below(prefix).forEach((key, entry) -> values.put(key, entry.value));
+    return values;
   }
 
-  private void expire() {
+  public long keys(String prefix) {
+    return below(prefix).size();
+  }
+
+  private SortedMap<String, Entry> below(String prefix) {
+    return prefix.isEmpty()
+        ? Collections.unmodifiableSortedMap(entries)
+        : entries.subMap(prefix, prefix + Character.MAX_VALUE);
+  }
+
+  /** How often something was written or deleted in a folder, which ends with a slash. */
+  public long writes(String folder) {
+    return writesByFolder.entrySet().stream()
+        .filter(entry -> entry.getKey().startsWith(folder))
+        .mapToLong(Map.Entry::getValue)
+        .sum();
+  }
+
+  /** Writes and deletions by the first two parts of their keys. */
+  public Map<String, Long> writesByKind() {
+    Map<String, Long> kinds = new TreeMap<>();
+    writesByFolder.forEach((folder, count) -> kinds.merge(kind(folder), count, Long::sum));
+    return kinds;
+  }
+
+  private static String kind(String folder) {
+    String[] parts = folder.split("/");
+    return parts.length < 2 ? folder : parts[0] + "/" + parts[1];
+  }
+
+  /** Puts a value without a transaction: what was there before the run. */
+  public void preset(String key, ObjectNode value) {
+    revision++;
+    entries.put(key, new Entry(value, revision, 0));
+  }
+
+  private void expireLeases() {
     boolean isAway = away.getAsBoolean();
     if (isAway || wasAway) {
-      leases.replaceAll((lease, until) -> loop.now().plusMillis(lives.get(lease)));
+      leases.replaceAll((lease, until) -> loop.now().plusMillis(leaseLives.get(lease)));
     }
     wasAway = isAway;
     for (Long lease : List.copyOf(leases.keySet())) {
       if (loop.now().compareTo(leases.get(lease)) > 0) {
         leases.remove(lease);
-        List<String> gone = new ArrayList<>();
-        entries.forEach((k, e) -> { if (e.lease == lease) { gone.add(k); } });
-        if (!gone.isEmpty()) {
-          revision++;
-          gone.forEach(k -> put(k, null, 0));
-          wake();
-        }
+        removeAttached(lease);
       }
     }
-    loop.after(Duration.ofMillis(50), this::expire);
+    loop.after(EXPIRE_EVERY, this::expireLeases);
+  }
+
+  private void removeAttached(long lease) {
+    List<String> attached = new ArrayList<>();
+    entries.forEach(
+        (key, entry) -> {
+          if (entry.lease == lease) {
+            attached.add(key);
+          }
+        });
+    if (!attached.isEmpty()) {
+      revision++;
+      attached.forEach(key -> put(key, null, 0));
+      wakeWatches();
+    }
   }
 
   private void put(String key, ObjectNode value, long lease) {
@@ -107,43 +183,63 @@
       if (entries.remove(key) == null) {
         return;
       }
-      values.remove(key);
     } else {
       entries.put(key, new Entry(value, revision, lease));
-      values.put(key, value);
     }
-    log.add(new Event(key, value, revision));
+    writes++;
+    writesByFolder.merge(key.substring(0, key.lastIndexOf('/') + 1), 1L, Long::sum);
+    events.add(new Event(key, value, revision));
+    if (events.size() > 2 * KEPT_CHANGES) {
+      forgottenUntil = events.get(events.size() - KEPT_CHANGES - 1).version;
+      events.subList(0, events.size() - KEPT_CHANGES).clear();
+    }
   }
 
-  private void wake() {
-    for (Waiting w : List.copyOf(watches)) {
-      if (answer(w)) {
-        watches.remove(w);
+  private void wakeWatches() {
+    for (Watch watch : List.copyOf(watches)) {
+      if (answerIfChanged(watch)) {
+        watches.remove(watch);
       }
     }
   }
 
-  private boolean answer(Waiting w) {
+  private boolean answerIfChanged(Watch watch) {
     ObjectNode map = Cbor.map();
-    ArrayNode events = map.putArray("Log");
-    for (Event e : log) {
-      if (e.version > w.since && e.key.startsWith(w.prefix)) {
-        ObjectNode node = events.addObject().put("Stamp", e.version);
-        if (e.value == null) {
-          node.put("Delete", e.key);
+    ArrayNode log = map.putArray("Log");
+    for (Event event : events.subList(firstAfter(watch.since), events.size())) {
+      if (event.key.startsWith(watch.prefix)) {
+        ObjectNode node = log.addObject().put("Stamp", event.version);
+        if (event.value == null) {
+          node.put("Delete", event.key);
         } else {
-          node.put("Write", e.key).set("Value", e.value);
+          node.put("Write", event.key).set("Value", event.value);
         }
       }
     }
-    if (events.isEmpty()) {
+    if (log.isEmpty()) {
       return false;
     }
-    w.reply.accept(200, map.put("Ledger", revision));
+    watch.reply.accept(200, map.put("Ledger", revision));
     return true;
   }
 
-  private static String query(String path, String name) {
+  /** Index of the first change after a revision; changes are kept in the order of theirs. */
+  private int firstAfter(long since) {
+    int low = 0;
+    int high = events.size();
+    while (low < high) {
+      int middle = (low + high) >>> 1;
+      if (events.get(middle).version > since) {
+        high = middle;
+      } else {
+        low = middle + 1;
+      }
+    }
+    return low;
+  }
+
+  /** A parameter of a request; empty if it is missing. */
+  static String query(String path, String name) {
     for (String part : path.substring(path.indexOf('?') + 1).split("&")) {
       if (part.startsWith(name + "=")) {
         return part.substring(name.length() + 1);
@@ -152,136 +248,133 @@
     return "";
   }
 
-  private boolean overLimit() {
+  /** Carries out a request and answers it, at once or, a watch, when something has changed. */
+  public void handle(
+      String method, String path, ObjectNode body, BiConsumer<Integer, ObjectNode> reply) {
     requests++;
-    if (requestsPerSecond == Double.MAX_VALUE) {
-      return false;
-    }
-    double passed = loop.now().minus(refilledAt).toNanos() / 1e9;
-    refilledAt = loop.now();
-    left = Math.min(requestsPerSecond, left + passed * requestsPerSecond);
-    if (left < 1) {
+    if (!requestBucket.take(1, loop.now())) {
       refused++;
-      return true;
-    }
-    left--;
-    return false;
-  }
-
-  /** Outcomes of jobs that ended long ago, as if a deployment had run for so long. */
-  void fillWith(int jobs, Function<String, String> key) {
-    ObjectNode outcome = JobRecord.outcome(JobRecord.Phase.DONE).write();
-    revision++;
-    for (int i = 0; i < jobs; i++) {
-      entries.put(key.apply(String.format("wk-%07d", i)), new Entry(outcome, revision, 0));
-    }
-  }
-
-  void handle(String method, String path, ObjectNode body, BiConsumer<Integer, ObjectNode> reply) {
-    if (overLimit()) {
       reply.accept(429, Cbor.map());
-      return;
-    }
-    if (path.startsWith("/store?")) {
-      ObjectNode map = Cbor.map();
-      ArrayNode pairs = map.putArray("Pairs");
-      boolean more = false;
-      for (Map.Entry<String, Entry> entry : entries.tailMap(query(path, "Since"), false).entrySet()) {
-        if (entry.getKey().startsWith(query(path, "Starts"))) {
-          more = pairs.size() == pageSize;
-          if (more) {
-            break;
-          }
-          Entry e = entry.getValue();
-          pairs.addObject().put("Path", entry.getKey()).put("Stamp", e.version).set("Value", e.value);
-        }
-      }
-      reply.accept(200, map.put("HasNext", more).put("Ledger", revision));
+    } else if (path.startsWith("/store?")) {
+      list(path, reply);
     } else if (path.startsWith("/store/")) {
-      Entry e = entries.get(path.substring(7));
-      if (e == null) {
-        reply.accept(404, Cbor.map().put("Ledger", revision));
-      } else {
-        ObjectNode map = Cbor.map().put("Path", path.substring(7)).put("Stamp", e.version);
-        map.set("Value", e.value);
-        reply.accept(200, map);
-      }
+      get(path.substring("/store/".length()), reply);
     } else if (path.startsWith("/watch?")) {
-      Waiting w =
-          new Waiting(query(path, "Starts"), Long.parseLong(query(path, "Since")), reply);
-      if (!answer(w)) {
-        watches.add(w);
-        loop.after(
-            Duration.ofMillis(Long.parseLong(query(path, "HoldMs"))),
-            () -> {
-              if (watches.remove(w)) {
-                ObjectNode map = Cbor.map().put("Ledger", revision);
-                map.putArray("Log");
-                reply.accept(200, map);
-              }
-            });
-      }
+      watch(path, reply);
     } else if (path.equals("/commit")) {
       commit(body, reply);
     } else if (path.equals("/grants")) {
-      long lease = nextLease++;
-      lives.put(lease, body.get("LifeMs").asLong());
-      leases.put(lease, loop.now().plusMillis(lives.get(lease)));
-      reply.accept(200, Cbor.map().put("Permit", lease));
+      grant(body.get("LifeMs").asLong(), reply);
     } else if (path.endsWith("/renew")) {
-      long lease = Long.parseLong(path.split("/")[2]);
-      if (leases.containsKey(lease)) {
-        leases.put(lease, loop.now().plusMillis(lives.get(lease)));
-        reply.accept(200, Cbor.map());
-      } else {
-        reply.accept(404, Cbor.map());
-      }
+      renew(Long.parseLong(path.split("/")[2]), reply);
     } else {
       throw new IllegalStateException(method + " " + path);
     }
   }
 
-  /** Bursts of one second's worth are allowed. */
-  private boolean overWrites(int writes) {
-    if (writesPerSecond == Double.MAX_VALUE) {
-      return false;
+  private void list(String path, BiConsumer<Integer, ObjectNode> reply) {
+    ObjectNode map = Cbor.map();
+    ArrayNode pairs = map.putArray("Pairs");
+    String prefix = query(path, "Starts");
+    String since = query(path, "Since");
+    boolean more = false;
+    for (Map.Entry<String, Entry> entry : below(prefix).entrySet()) {
+      if (entry.getKey().compareTo(since) > 0) {
+        more = pairs.size() == limits.pageSize();
+        if (more) {
+          break;
+        }
+        ObjectNode pair = pairs.addObject();
+        pair.put("Path", entry.getKey()).put("Stamp", entry.getValue().version);
+        pair.set("Value", entry.getValue().value);
+      }
+    }
+    reply.accept(200, map.put("HasNext", more).put("Ledger", revision));
+  }
+
+  private void get(String key, BiConsumer<Integer, ObjectNode> reply) {
+    Entry entry = entries.get(key);
+    if (entry == null) {
+      reply.accept(404, Cbor.map().put("Ledger", revision));
+      return;
+    }
+    ObjectNode map = Cbor.map().put("Path", key).put("Stamp", entry.version);
+    map.set("Value", entry.value);
+    reply.accept(200, map);
+  }
+
+  private void watch(String path, BiConsumer<Integer, ObjectNode> reply) {
+    long since = Long.parseLong(query(path, "Since"));
+    if (since < forgottenUntil) {
+      reply.accept(410, Cbor.map());
+      return;
+    }
+    Watch watch = new Watch(query(path, "Starts"), since, reply);
+    if (answerIfChanged(watch)) {
+      return;
+    }
+    watches.add(watch);
+    loop.after(
+        Duration.ofMillis(Long.parseLong(query(path, "HoldMs"))),
+        () -> {
+          if (watches.remove(watch)) {
+            ObjectNode map = Cbor.map().put("Ledger", revision);
+            map.putArray("Log");
+            reply.accept(200, map);
+          }
+        });
+  }
+
+  private void grant(long lifeMs, BiConsumer<Integer, ObjectNode> reply) {
+    long lease = nextLease++;
+    leaseLives.put(lease, lifeMs);
+    leases.put(lease, loop.now().plusMillis(lifeMs));
+    reply.accept(200, Cbor.map().put("Permit", lease));
+  }
+
+  private void renew(long lease, BiConsumer<Integer, ObjectNode> reply) {
+    if (leases.containsKey(lease)) {
+      leases.put(lease, loop.now().plusMillis(leaseLives.get(lease)));
+      reply.accept(200, Cbor.map());
+    } else {
+      reply.accept(404, Cbor.map());
     }
-    double passed = loop.now().minus(writesAt).toNanos() / 1e9;
-    writesAt = loop.now();
-    writesLeft = Math.min(writesPerSecond, writesLeft + passed * writesPerSecond);
-    boolean over = writesLeft < writes;
-    writesLeft -= over ? 0 : writes;
-    refused += over ? 1 : 0;
-    return over;
   }
 
   private void commit(ObjectNode body, BiConsumer<Integer, ObjectNode> reply) {
-    if (overWrites(body.get("Then").size())) {
+    JsonNode changes = body.path("Then");
+    if (!writeBucket.take(changes.size(), loop.now())) {
+      refused++;
       reply.accept(429, Cbor.map());
       return;
     }
-    for (JsonNode c : body.get("When")) {
-      Entry e = entries.get(c.get("Path").asText());
-      if ((e == null ? 0 : e.version) != c.get("Stamp").asLong()) {
+    for (JsonNode condition : body.path("When")) {
+      Entry entry = entries.get(condition.get("Path").asText());
+      if ((entry == null ? 0 : entry.version) != condition.get("Stamp").asLong()) {
         reply.accept(409, Cbor.map().put("Ledger", revision));
         return;
       }
     }
-    for (JsonNode w : body.get("Then")) {
-      if (w.has("Permit") && !leases.containsKey(w.get("Permit").asLong())) {
+    for (JsonNode change : changes) {
+      if (change.has("Permit") && !leases.containsKey(change.get("Permit").asLong())) {
         reply.accept(400, Cbor.map().put("error", "no such lease"));
         return;
       }
     }
-    revision++;
-    for (JsonNode w : body.get("Then")) {
-      if (w.has("Delete")) {
-        put(w.get("Delete").asText(), null, 0);
-      } else {
-        put(w.get("Write").asText(), (ObjectNode) w.get("Value"), w.path("Permit").asLong());
-      }
+    if (!changes.isEmpty()) {
+      revision++;
     }
+    changes.forEach(this::apply);
     reply.accept(200, Cbor.map().put("Ledger", revision));
-    wake();
+    wakeWatches();
+  }
+
+  private void apply(JsonNode change) {
+    if (change.has("Delete")) {
+      put(change.get("Delete").asText(), null, 0);
+    } else {
+      ObjectNode value = (ObjectNode) change.get("Value");
+      put(change.get("Write").asText(), value, change.path("Permit").asLong());
+    }
   }
 }
--- a/src/main/java/io/tansystack/emulator/EmulatedWorker.java
+++ b/src/main/java/io/tansystack/emulator/EmulatedWorker.java
@@ -1,8 +1,10 @@
-package io.tansystack.sim;
+package io.tansystack.emulator;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.http.Loop;
 import io.tansystack.wire.JobSpec;
+import io.tansystack.wire.MachineType;
 import io.tansystack.wire.Report;
 import io.tansystack.wire.TaskId;
 import io.tansystack.wire.TaskReport;
@@ -11,47 +13,66 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
-/** A stand-in for a worker, after the published protocol: tokens, sessions, lease and commands. */
-final class StandInWorker {
-  private final SimNetwork network;
-  private final SimLoop loop;
-  final String name;
-  final String address;
-  final SimNetwork.SimType type;
-  final String zone;
-  final boolean spot;
-  final Duration rentedAt;
-  Duration lease;
+/**
+ * A worker after the published protocol, without the work: tokens, sessions, its lease, commands and
+ * the states that tasks go through. How its reports travel is the driver's matter.
+ */
+public final class EmulatedWorker {
+  private static final double EPSILON = 1e-9;
+
+  /** The lease ends when more than its length has passed. */
+  private static final Duration LEASE_STEP = Duration.ofMillis(1);
+
+  private final WorkerEnvironment environment;
+  private final EmulatedGangs gangs;
+  private final Loop loop;
+  private final String name;
+  private final String address;
+  private final MachineType type;
+  private final String zone;
+  private final boolean spot;
+  private final Duration rentedAt;
   private final Map<String, TaskReport> tasks = new LinkedHashMap<>();
-  long session = 1;
-  private long seq;
-  long token;
+
+  /** Keys of the tasks that have their image and have not exited. */
+  private final Set<String> begun = new LinkedHashSet<>();
+
+  private Duration lease;
+  private long session = 1;
+  private long sequence;
+  private long token;
   private Duration leaseFrom;
-  int target;
-  boolean dead;
+  private Duration tokenChangedAt = Duration.ZERO;
+  private boolean dead;
 
   /** Until then it neither reports nor takes commands; what came meanwhile it takes afterwards. */
-  Duration hungUntil = Duration.ZERO;
+  private Duration hungUntil = Duration.ZERO;
 
   /** Seconds until the cloud takes it away; null for none. */
-  Double noticeS;
+  private Double noticeS;
 
-  /** Tasks that were killed when the lease ran out. */
-  int lost;
+  private int lostTasks;
+  private int commandsTaken;
+  private final List<String> needlessCommands = new ArrayList<>();
 
-  int ordersTaken;
-
-  /** Orders that a reconciled fleet would not have needed. */
-  final List<String> needless = new ArrayList<>();
-
-  StandInWorker(
-      SimNetwork network, String name, String address, SimNetwork.SimType type, String zone, boolean spot,
+  /** @param lease after so long without an answered report all tasks are killed */
+  public EmulatedWorker(
+      WorkerEnvironment environment,
+      EmulatedGangs gangs,
+      String name,
+      String address,
+      MachineType type,
+      String zone,
+      boolean spot,
       Duration lease) {
-    this.network = network;
-    this.loop = network.loop;
+    this.environment = environment;
+    this.gangs = gangs;
+    this.loop = environment.loop();
     this.name = name;
     this.address = address;
     this.type = type;
@@ -60,136 +81,259 @@
     this.rentedAt = loop.now();
     this.lease = lease;
     this.leaseFrom = loop.now();
-    tick();
+    checkLease();
+  }
+
+  public String name() {
+    return name;
+  }
+
+  /** Where it takes commands. */
+  public String address() {
+    return address;
+  }
+
+  public MachineType type() {
+    return type;
+  }
+
+  public String zone() {
+    return zone;
+  }
+
+  public boolean spot() {
+    return spot;
   }
 
-  /** As an answered report does. */
-  void keepLease() {
+  /** Time of the loop at which it was rented. */
+  public Duration rentedAt() {
+    return rentedAt;
+  }
+
+  public long session() {
+    return session;
+  }
+
+  /** The highest token it has seen. */
+  public long token() {
+    return token;
+  }
+
+  /** As if it had seen commands under this token. */
+  public void token(long seen) {
+    token = seen;
+  }
+
+  public void lease(Duration duration) {
+    lease = duration;
+  }
+
+  /** Restarts the lease, as an answered report does. */
+  public void keepLease() {
     leaseFrom = loop.now();
   }
 
-  boolean hangs() {
+  public void noticeS(Double seconds) {
+    noticeS = seconds;
+  }
+
+  public void hangUntil(Duration until) {
+    hungUntil = until;
+  }
+
+  public Duration hungUntil() {
+    return hungUntil;
+  }
+
+  public boolean hangs() {
     return loop.now().compareTo(hungUntil) < 0;
   }
 
-  private void tick() {
+  public boolean isDead() {
+    return dead;
+  }
+
+  /** How many tasks were killed when the lease ran out. */
+  public int lostTasks() {
+    return lostTasks;
+  }
+
+  public int commandsTaken() {
+    return commandsTaken;
+  }
+
+  /** Commands that changed nothing: a controller that knows the machine would not have sent them. */
+  public List<String> needlessCommands() {
+    return needlessCommands;
+  }
+
+  private void checkLease() {
     if (dead) {
       return;
     }
-    if (loop.now().minus(leaseFrom).compareTo(lease) > 0) {
-      lost += live().size();
-      tasks.clear();
-      session++;
-      leaseFrom = loop.now();
-      network.changed();
+    Duration left = leaseFrom.plus(lease).minus(loop.now());
+    if (left.isNegative()) {
+      startSession();
+      left = lease;
     }
-    loop.after(Duration.ofMillis(200), this::tick);
+    loop.after(left.plus(LEASE_STEP), this::checkLease);
   }
 
-  Report report() {
+  private void startSession() {
+    lostTasks += live().size();
+    tasks.clear();
+    endBegun();
+    session++;
+    leaseFrom = loop.now();
+    environment.changed(this);
+  }
+
+  private void endBegun() {
+    List<String> keys = List.copyOf(begun);
+    begun.clear();
+    keys.forEach(key -> environment.ended(this, taskOf(key)));
+  }
+
+  public Report report() {
+    sequence++;
     return new Report(
-        name, address, type.name(), zone, spot, session, ++seq, token, noticeS,
+        name, address, type.name(), zone, spot, session, sequence, token, noticeS,
         new ArrayList<>(tasks.values()));
   }
 
-  /** An answer to a report sent at a moment in a session. */
-  void answered(int status, ObjectNode body, Duration sentAt, long sentSession) {
-    if (status == 200 && sentSession == session && body.path("Baton").asLong() >= token) {
-      token = body.path("Baton").asLong();
+  /** Takes an answer to a report that was sent at a moment in a session. */
+  public void answered(int status, ObjectNode body, Duration sentAt, long sentSession) {
+    long answerToken = body.path("Baton").asLong();
+    if (status == 200 && sentSession == session && answerToken >= token) {
       leaseFrom = sentAt;
+      seen(answerToken);
+    }
+  }
+
+  /** A higher token counts as a change once per half of the lease at most. */
+  private void seen(long newToken) {
+    boolean higher = newToken > token;
+    token = newToken;
+    Duration now = loop.now();
+    if (higher && now.minus(tokenChangedAt).multipliedBy(2).compareTo(lease) >= 0) {
+      tokenChangedAt = now;
+      environment.changed(this);
     }
   }
 
-  int orders(ObjectNode body) {
+  /** Executes direct commands, or refuses them; tells the status of the answer. */
+  public int commands(ObjectNode body) {
     if (body.get("Baton").asLong() < token || body.get("Shift").asLong() != session) {
       return 409;
     }
-    token = body.get("Baton").asLong();
-    for (JsonNode c : body.get("Signals")) {
-      String id = c.get("Wagon").asText();
-      long attempt = c.get("Departure").asLong();
-      String key = id + "#" + attempt;
-      ordersTaken++;
-      TaskReport held = tasks.get(key);
-      boolean needed =
-          switch (c.get("Aspect").asText()) {
-            case "launch" -> held == null;
-            case "halt" -> held != null && !held.exited();
-            default -> held != null && held.exited();
-          };
-      if (!needed) {
-        needless.add(c + " of " + held);
-      }
-      switch (c.get("Aspect").asText()) {
-        case "launch" -> launch(id, attempt, key);
-        case "halt" -> halt(key, c.path("SlackS").asDouble());
-        default -> {
-          TaskReport t = tasks.get(key);
-          if (t != null && t.exited()) {
-            tasks.remove(key);
-          }
-        }
-      }
+    seen(body.get("Baton").asLong());
+    for (JsonNode command : body.get("Signals")) {
+      execute(command);
     }
     return 200;
   }
 
-  private void launch(String id, long attempt, String key) {
+  private void execute(JsonNode command) {
+    String id = command.get("Wagon").asText();
+    long attempt = command.get("Departure").asLong();
+    String operation = command.get("Aspect").asText();
+    String key = id + "#" + attempt;
+    commandsTaken++;
+    TaskReport held = tasks.get(key);
+    boolean needed =
+        switch (operation) {
+          case "launch" -> held == null;
+          case "halt" -> held != null && !held.exited();
+          default -> held != null && held.exited();
+        };
+    if (!needed) {
+      needlessCommands.add(command + " of " + held);
+    }
+    switch (operation) {
+      case "launch" -> launch(taskOf(key), attempt, key);
+      case "halt" -> halt(key, command.path("SlackS").asDouble());
+      default -> forget(key);
+    }
+  }
+
+  private static TaskId taskOf(String key) {
+    int slash = key.indexOf('/');
+    return new TaskId(
+        key.substring(0, slash), Integer.parseInt(key.substring(slash + 1, key.indexOf('#'))));
+  }
+
+  private void forget(String key) {
+    TaskReport task = tasks.get(key);
+    if (task != null && task.exited()) {
+      tasks.remove(key);
+    }
+  }
+
+  private void launch(TaskId task, long attempt, String key) {
     if (tasks.containsKey(key)) {
       return;
     }
-    TaskId task = new TaskId(id.substring(0, id.indexOf('/')), Integer.parseInt(id.substring(id.indexOf('/') + 1)));
-    boolean busy =
-        tasks.values().stream().anyMatch(t -> t.task().equals(task) && !t.exited());
-    boolean refuses = network.launchesRefused > 0 && network.random.nextDouble() < network.launchesRefused;
-    if (busy || refuses || !hasRoomFor(network.uploaded.get(task.job()))) {
-      tasks.put(
-          key, new TaskReport(task, attempt, State.EXITED, busy ? Cause.BUSY : Cause.NO_ROOM, false));
+    boolean busy = tasks.values().stream().anyMatch(t -> t.task().equals(task) && !t.exited());
+    boolean refused =
+        environment.refusesLaunch() || !hasRoomFor(environment.description(task.job()));
+    if (busy || refused) {
+      Cause cause = busy ? Cause.BUSY : Cause.NO_ROOM;
+      tasks.put(key, new TaskReport(task, attempt, State.EXITED, cause, false));
       return;
     }
-    network.started.add(id + "@" + name);
-    if (network.fetch.isZero()) {
-      run(task, attempt, key);
+    environment.launched(this, task);
+    Duration fetch = environment.fetchTime(this, task.job());
+    if (fetch.isZero()) {
+      begin(task, attempt, key);
       return;
     }
     tasks.put(key, new TaskReport(task, attempt, State.FETCHING, null, false));
-    network.changed();
-    later(network.fetch, key, State.FETCHING, () -> run(task, attempt, key));
+    environment.changed(this);
+    later(fetch, key, State.FETCHING, () -> begin(task, attempt, key));
   }
 
-  private void run(TaskId task, long attempt, String key) {
-    if (network.gangs.isGang(task.job())) {
-      tasks.put(key, new TaskReport(task, attempt, State.WAITING, null, false));
-      network.changed();
-      network.gangs.arrived(this, key, task.job(), task.index(), attempt);
+  private void begin(TaskId task, long attempt, String key) {
+    boolean gang = environment.gangSize(task.job()) > 0;
+    State state = gang ? State.WAITING : State.RUNNING;
+    tasks.put(key, new TaskReport(task, attempt, state, null, false));
+    begun.add(key);
+    environment.began(this, task);
+    environment.changed(this);
+    if (gang) {
+      gangs.arrived(this, key, task.job(), task.index(), attempt);
       return;
     }
-    tasks.put(key, new TaskReport(task, attempt, State.RUNNING, null, false));
-    network.changed();
     // A result is kept: started again, the task ends as soon as it has its image.
-    Duration left = network.completed.contains(task.toString()) ? Duration.ZERO : network.runOf(task.toString());
-    later(left, key, State.RUNNING, () -> {
-      network.completed.add(task.toString());
-      end(key, Cause.DONE);
-      network.onCompleted.forEach(told -> told.accept(task.toString()));
-    });
+    Duration run = environment.hasCompleted(task) ? Duration.ZERO : environment.runTime(task);
+    later(run, key, State.RUNNING, () -> complete(task, key));
   }
 
-  /** Whether another task of the job fits beside what is there; one whose description nobody has takes a CPU. */
-  boolean hasRoomFor(JobSpec wanted) {
+  private void complete(TaskId task, String key) {
+    environment.completed(task);
+    end(key, Cause.DONE);
+    environment.completionReported(this, task);
+  }
+
+  /** Whether another task of the job fits; one whose description nobody has takes one CPU. */
+  public boolean hasRoomFor(JobSpec wanted) {
     double cpus = wanted == null ? 1 : wanted.cpus();
     double gpus = wanted == null ? 0 : wanted.gpus();
     double memGb = wanted == null ? 1 : wanted.memGb();
-    for (String task : live()) {
-      JobSpec spec = network.uploaded.get(task.substring(0, task.indexOf('/')));
+    for (TaskReport task : tasks.values()) {
+      if (task.exited()) {
+        continue;
+      }
+      JobSpec spec = environment.description(task.task().job());
       cpus += spec == null ? 1 : spec.cpus();
       gpus += spec == null ? 0 : spec.gpus();
       memGb += spec == null ? 1 : spec.memGb();
     }
-    return cpus <= type.cpus() + 1e-9 && gpus <= type.gpus() + 1e-9 && memGb <= type.memGb() + 1e-9;
+    return cpus <= type.cpus() + EPSILON
+        && gpus <= type.gpus() + EPSILON
+        && memGb <= type.memGb() + EPSILON;
   }
 
-  /** Does it after a while, if the task is still there in that state. */
+  /** Runs after the delay, if the task is still there in that state. */
   private void later(Duration delay, String key, State state, Runnable then) {
     long inSession = session;
     loop.after(
@@ -202,45 +346,56 @@
         });
   }
 
-  /** One that saves goes on to do so; told to stop at once, or without anything to save, it ends. */
-  private void halt(String key, double slackS) {
-    TaskReport t = tasks.get(key);
-    if (t != null && t.state() == State.RUNNING && slackS > 0 && !network.save.isZero()) {
-      tasks.put(key, new TaskReport(t.task(), t.attempt(), State.SAVING, null, false));
-      later(network.save, key, State.SAVING, () -> end(key, Cause.STOPPED));
+  /** A task that saves goes on to do so; told to stop at once, or with nothing to save, it ends. */
+  private void halt(String key, double graceS) {
+    TaskReport task = tasks.get(key);
+    boolean saves =
+        task != null
+            && task.state() == State.RUNNING
+            && graceS > 0
+            && !environment.saveTime().isZero();
+    if (saves) {
+      tasks.put(key, new TaskReport(task.task(), task.attempt(), State.SAVING, null, false));
+      later(environment.saveTime(), key, State.SAVING, () -> end(key, Cause.STOPPED));
     } else {
       end(key, Cause.STOPPED);
     }
   }
 
   /** What the task is doing; null if the worker knows nothing of it. */
-  State stateOf(String key) {
+  public State stateOf(String key) {
     TaskReport task = dead ? null : tasks.get(key);
     return task == null ? null : task.state();
   }
 
-  /** All tasks of its gang are there. */
-  void goesOn(String key) {
-    TaskReport t = tasks.get(key);
-    tasks.put(key, new TaskReport(t.task(), t.attempt(), State.RUNNING, null, false));
+  /** All tasks of its gang are there: it runs. */
+  void startRunning(String key) {
+    TaskReport task = tasks.get(key);
+    tasks.put(key, new TaskReport(task.task(), task.attempt(), State.RUNNING, null, false));
+    environment.changed(this);
   }
 
-  void end(String key, Cause cause) {
-    TaskReport t = tasks.get(key);
-    if (t != null && !t.exited()) {
-      tasks.put(key, new TaskReport(t.task(), t.attempt(), State.EXITED, cause, false));
-      network.changed();
+  /** The task exits for the given cause, unless it has already. */
+  public void end(String key, Cause cause) {
+    TaskReport task = tasks.get(key);
+    if (task != null && !task.exited()) {
+      tasks.put(key, new TaskReport(task.task(), task.attempt(), State.EXITED, cause, false));
+      if (begun.remove(key)) {
+        environment.ended(this, task.task());
+      }
+      environment.changed(this);
     }
   }
 
   /** The cloud took it away, or it died: nothing on it is left. */
-  void die() {
+  public void die() {
     dead = true;
-    network.changed();
+    endBegun();
+    environment.changed(this);
   }
 
-  /** Tasks that have not ended, each with its attempt and the session. */
-  List<String> attempts() {
+  /** Tasks that have not exited, each with its attempt and the session. */
+  public List<String> attempts() {
     return dead
         ? List.of()
         : tasks.values().stream()
@@ -249,12 +404,13 @@
             .toList();
   }
 
-  boolean holds(String task) {
+  public boolean holds(String task) {
     return !dead
         && tasks.values().stream().anyMatch(t -> !t.exited() && t.task().toString().equals(task));
   }
 
-  List<String> live() {
+  /** Tasks that have not exited. */
+  public List<String> live() {
     return dead
         ? List.of()
         : tasks.values().stream().filter(t -> !t.exited()).map(t -> t.task().toString()).toList();
--- /dev/null
+++ b/src/main/java/io/tansystack/emulator/Traffic.java
@@ -0,0 +1,24 @@
+package io.tansystack.emulator;
+
+/** Messages of all hollow workers of a cell, and their bytes with headers, both ways together. */
+final class Traffic {
+  /** A request's line and headers, as Undertow's client writes them for these paths. */
+  static final int REQUEST_HEADER_BYTES = 108;
+
+  /** An answer's line and headers. */
+  static final int ANSWER_HEADER_BYTES = 92;
+
+  long reports;
+  long reportBytes;
+  long commands;
+  long commandBytes;
+
+  Traffic copy() {
+    Traffic copy = new Traffic();
+    copy.reports = reports;
+    copy.reportBytes = reportBytes;
+    copy.commands = commands;
+    copy.commandBytes = commandBytes;
+    return copy;
+  }
+}
--- a/src/main/java/io/tansystack/http/HttpServer.java
+++ b/src/main/java/io/tansystack/http/HttpServer.java
@@ -4,10 +4,7 @@
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.HttpHandler;
-import io.undertow.server.HttpServerExchange;
-import io.undertow.util.Headers;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
 import org.xnio.Options;
 import org.xnio.XnioWorker;
 
@@ -51,8 +48,8 @@
             .setSocketOption(Options.REUSE_ADDRESSES, true)
             .setSocketOption(Options.TCP_NODELAY, true)
             .setSocketOption(Options.BACKLOG, 256)
-            .addListener(listener(front, handler(frontService, MAX_BODY)))
-            .addListener(listener(peer, handler(peerService, maxBodyPeer)))
+            .addListener(listener(front, new ServiceHandler(frontService, MAX_BODY)))
+            .addListener(listener(peer, new ServiceHandler(peerService, maxBodyPeer)))
             .build();
   }
 
@@ -64,63 +61,6 @@
         .setRootHandler(handler);
   }
 
-  private static HttpHandler handler(Service service, int maxBody) {
-    return exchange -> {
-      if (exchange.getRequestContentLength() > maxBody) {
-        refuseLarge(exchange);
-        return;
-      }
-      exchange.setMaxEntitySize(maxBody);
-      Bodies.receive(
-          exchange,
-          body -> {
-            Answer answer = new Answer(exchange);
-            XnioLoop.guarded(
-                () ->
-                    service.handle(
-                        exchange.getRequestMethod().toString(),
-                        exchange.getRequestPath(),
-                        body,
-                        answer));
-            if (!answer.sent) {
-              exchange.dispatch(); // The answer comes later; until then the exchange stays open.
-            }
-          },
-          () -> refuseLarge(exchange));
-    };
-  }
-
-  /** The rest of the body is not read, so the connection can't be used again. */
-  private static void refuseLarge(HttpServerExchange exchange) {
-    exchange.setStatusCode(400);
-    exchange.setPersistent(false);
-    exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-    exchange.endExchange();
-  }
-
-  private static final class Answer implements Reply {
-    private final HttpServerExchange exchange;
-    private boolean sent;
-
-    Answer(HttpServerExchange exchange) {
-      this.exchange = exchange;
-    }
-
-    @Override
-    public void send(int status, byte[] body, int retryAfterS) {
-      if (sent) {
-        return;
-      }
-      sent = true;
-      exchange.setStatusCode(status);
-      exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/cbor");
-      if (retryAfterS > 0) {
-        exchange.getResponseHeaders().put(Headers.RETRY_AFTER, retryAfterS);
-      }
-      exchange.getResponseSender().send(ByteBuffer.wrap(body));
-    }
-  }
-
   public void start() {
     undertow.start();
   }
--- a/src/main/java/io/tansystack/settings/TomlTable.java
+++ b/src/main/java/io/tansystack/settings/TomlTable.java
@@ -15,7 +15,7 @@
 import java.util.List;
 
 /** A TOML table whose errors name the full key. Unknown keys are ignored by never being asked. */
-final class TomlTable {
+public final class TomlTable {
   private final String path;
   private final ObjectNode node;
 
@@ -24,7 +24,7 @@
     this.node = node;
   }
 
-  static TomlTable load(Path file) throws SettingsException {
+  public static TomlTable load(Path file) throws SettingsException {
     String text;
     try {
       text = Files.readString(file);
@@ -34,7 +34,7 @@
     return parse(file.toString(), text);
   }
 
-  static TomlTable parse(String what, String text) throws SettingsException {
+  public static TomlTable parse(String what, String text) throws SettingsException {
     try {
       return new TomlTable("", (ObjectNode) new TomlMapper().readTree(text));
     } catch (IOException e) {
@@ -42,12 +42,12 @@
     }
   }
 
-  boolean has(String name) {
+  public boolean has(String name) {
     return node.has(name);
   }
 
   /** The full key, as errors name it. */
-  String key(String name) {
+  public String key(String name) {
     return path.isEmpty() ? name : path + "." + name;
   }
 
@@ -59,7 +59,7 @@
     return value;
   }
 
-  TomlTable table(String name) throws SettingsException {
+  public TomlTable table(String name) throws SettingsException {
     if (need(name) instanceof ObjectNode table) {
       return new TomlTable(key(name), table);
     }
@@ -67,11 +67,11 @@
   }
 
   /** A table that may be left out; then every key in it has its default. */
-  TomlTable tableOrEmpty(String name) throws SettingsException {
+  public TomlTable tableOrEmpty(String name) throws SettingsException {
     return node.has(name) ? table(name) : new TomlTable(key(name), JsonNodeFactory.instance.objectNode());
   }
 
-  List<TomlTable> tables(String name) throws SettingsException {
+  public List<TomlTable> tables(String name) throws SettingsException {
     List<TomlTable> tables = new ArrayList<>();
     JsonNode list = node.get(name);
     if (list == null) {
@@ -90,7 +90,7 @@
     return tables;
   }
 
-  String text(String name) throws SettingsException {
+  public String text(String name) throws SettingsException {
     JsonNode value = need(name);
     if (!value.isTextual() || value.textValue().isEmpty()) {
       throw new SettingsException(key(name) + ": not a text");
@@ -98,11 +98,11 @@
     return value.textValue();
   }
 
-  String textOr(String name, String fallback) throws SettingsException {
+  public String textOr(String name, String fallback) throws SettingsException {
     return node.has(name) ? text(name) : fallback;
   }
 
-  double number(String name, double min, double max) throws SettingsException {
+  public double number(String name, double min, double max) throws SettingsException {
     JsonNode value = need(name);
     if (!value.isNumber()) {
       throw new SettingsException(key(name) + ": not a number");
@@ -115,11 +115,11 @@
     return number;
   }
 
-  double numberOr(String name, double fallback, double min, double max) throws SettingsException {
+  public double numberOr(String name, double fallback, double min, double max) throws SettingsException {
     return node.has(name) ? number(name, min, max) : fallback;
   }
 
-  int integer(String name, int min, int max) throws SettingsException {
+  public int integer(String name, int min, int max) throws SettingsException {
     double number = number(name, min, max);
     if (number != Math.rint(number)) {
       throw new SettingsException(key(name) + ": not a whole number");
@@ -127,11 +127,11 @@
     return (int) number;
   }
 
-  int integerOr(String name, int fallback, int min, int max) throws SettingsException {
+  public int integerOr(String name, int fallback, int min, int max) throws SettingsException {
     return node.has(name) ? integer(name, min, max) : fallback;
   }
 
-  boolean flagOr(String name, boolean fallback) throws SettingsException {
+  public boolean flagOr(String name, boolean fallback) throws SettingsException {
     JsonNode value = node.get(name);
     if (value == null) {
       return fallback;
@@ -142,16 +142,16 @@
     return value.booleanValue();
   }
 
-  Duration seconds(String name, double min, double max) throws SettingsException {
+  public Duration seconds(String name, double min, double max) throws SettingsException {
     return Duration.ofNanos(Math.round(number(name, min, max) * 1e9));
   }
 
-  Duration secondsOr(String name, double fallback, double min, double max)
+  public Duration secondsOr(String name, double fallback, double min, double max)
       throws SettingsException {
     return Duration.ofNanos(Math.round(numberOr(name, fallback, min, max) * 1e9));
   }
 
-  InetSocketAddress address(String name) throws SettingsException {
+  public InetSocketAddress address(String name) throws SettingsException {
     try {
       return Addresses.parse(text(name));
     } catch (BadInput e) {
@@ -159,7 +159,7 @@
     }
   }
 
-  List<String> texts(String name) throws SettingsException {
+  public List<String> texts(String name) throws SettingsException {
     List<String> texts = new ArrayList<>();
     for (JsonNode value : need(name)) {
       if (!value.isTextual()) {
--- /dev/null
+++ b/src/test/java/io/tansystack/emulator/ScaleSettingsTest.java
@@ -0,0 +1,68 @@
+package io.tansystack.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.tansystack.settings.SettingsException;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ScaleSettingsTest {
+  @Test
+  void theDefaultsAreThePlannedSize() {
+    ScaleSettings whole = ScaleSettings.defaults();
+    assertEquals(7, whole.cells());
+    assertEquals(16_000, whole.workers());
+    assertEquals(26, whole.controllers());
+    assertEquals(890, whole.startsPerSecond());
+  }
+
+  @Test
+  void theCellsShareWhatThereIs() {
+    ScaleSettings whole = ScaleSettings.defaults();
+    int workers = 0;
+    int controllers = 0;
+    for (int cell = 0; cell < whole.cells(); cell++) {
+      workers += whole.cell(cell).workers();
+      controllers += whole.cell(cell).controllers();
+      assertEquals(1, whole.cell(cell).cells());
+    }
+    assertEquals(whole.workers(), workers);
+    assertEquals(whole.controllers(), controllers);
+  }
+
+  @Test
+  void aCellsFileSaysTheSame() throws SettingsException {
+    ScaleSettings cell = ScaleSettings.defaults().cell(3);
+    assertEquals(cell, ScaleSettings.parse(cell.toToml()));
+  }
+
+  @Test
+  void onlyTheFirstCellHasFaults() throws SettingsException {
+    ScaleSettings settings = ScaleSettings.parse("[faults]\nlasts_s = 60");
+    assertEquals(Duration.ofSeconds(60), settings.cell(0).faults().lasts());
+    assertEquals(Duration.ZERO, settings.cell(1).faults().lasts());
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "workers = 0,workers",
+    "workers = 'many',workers",
+    "cells = 21,cells",
+    "controllers = 6,controllers",
+    "starts_per_s = -1,starts_per_s",
+    "[timeline]@measured_s = 0,timeline.measured_s",
+    "[state]@txn_ops = 1,state.txn_ops",
+    "[worker_times]@lease_s = 0.5,worker_times.lease_s",
+    "[cloud]@rps = 0,cloud.rps",
+  })
+  void anErrorNamesTheKey(String text, String key) {
+    SettingsException error =
+        assertThrows(
+            SettingsException.class, () -> ScaleSettings.parse(text.replace("@", "\n").replace('\'', '"')));
+    assertTrue(error.getMessage().startsWith(key + ":"), error.getMessage());
+  }
+}
--- a/src/test/java/io/tansystack/sim/AcceptanceTest.java
+++ b/src/test/java/io/tansystack/sim/AcceptanceTest.java
@@ -168,7 +168,7 @@
   }
 
   private long acceptedKeys() {
-    return store.values.entrySet().stream()
+    return store.values("").entrySet().stream()
         .mapToLong(
             entry ->
                 entry.getKey().startsWith("ts/jobs/")
--- a/src/test/java/io/tansystack/sim/ClusterTest.java
+++ b/src/test/java/io/tansystack/sim/ClusterTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.tansystack.emulator.EmulatedWorker;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.settings.SettingsTest;
 import io.tansystack.wire.Cbor;
@@ -88,7 +89,7 @@
     submit("wk-000001", 40);
     loop.runFor(Duration.ofSeconds(15));
     Map<String, Long> before = new HashMap<>();
-    workers.values().forEach(worker -> before.put(worker.name, worker.token));
+    workers.values().forEach(worker -> before.put(worker.name(), worker.token()));
     assertTrue(before.values().stream().filter(token -> token > 0).count() > 1);
     long writes = store.writes("ts/machines/") + store.writes("ts/lots/");
     assertTrue(writes > 0 && writes < before.size(), writes + " writes for " + before.size());
@@ -101,8 +102,8 @@
     }
     loop.runFor(Duration.ofSeconds(12));
     assertEquals(writes, store.writes("ts/machines/") + store.writes("ts/lots/"));
-    for (StandInWorker worker : workers.values()) {
-      assertTrue(worker.token > before.get(worker.name), "told apart from the earlier start");
+    for (EmulatedWorker worker : workers.values()) {
+      assertTrue(worker.token() > before.get(worker.name()), "told apart from the earlier start");
     }
     loop.runFor(Duration.ofSeconds(120));
     assertEquals("done", state("wk-000001"));
@@ -315,7 +316,7 @@
   }
 
   private long slotsOf(String label) {
-    return store.values.entrySet().stream()
+    return store.values("").entrySet().stream()
         .filter(e -> e.getKey().startsWith("ts/slots/"))
         .filter(e -> e.getValue().get("label").asText().equals(label))
         .count();
--- a/src/test/java/io/tansystack/sim/DrawnDay.java
+++ b/src/test/java/io/tansystack/sim/DrawnDay.java
@@ -1,5 +1,6 @@
 package io.tansystack.sim;
 
+import io.tansystack.emulator.EmulatedWorker;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.settings.SettingsTest;
 import io.tansystack.sim.Users.Told;
@@ -210,8 +211,8 @@
 
   /** Within a fifth of a second; up to eight of the machines on which they run hang as long as told. */
   private void cancelNow(int count, Duration hang) {
-    List<StandInWorker> hit = new ArrayList<>();
-    for (StandInWorker worker : workers.values()) {
+    List<EmulatedWorker> hit = new ArrayList<>();
+    for (EmulatedWorker worker : workers.values()) {
       for (String task : worker.live()) {
         Told told = users.jobs.get(task.substring(0, task.indexOf('/')));
         if (hit.size() < count && told != null && !told.asksToCancel && told.accepted != null) {
@@ -220,7 +221,7 @@
         }
       }
     }
-    hit.subList(0, Math.min(8, hit.size())).forEach(worker -> worker.hungUntil = loop.now().plus(hang));
+    hit.subList(0, Math.min(8, hit.size())).forEach(worker -> worker.hangUntil(loop.now().plus(hang)));
   }
 
   /** Repetitions of what is under way, cancellations of what is done, and what fits no machine or lacks a field. */
@@ -267,13 +268,13 @@
 
   /** The leader as often as another. */
   private int victim(Trouble trouble) {
-    return trouble.draw % 2 == 0 && store.values.containsKey("ts/fleet")
+    return trouble.draw % 2 == 0 && store.value("ts/fleet") != null
         ? holder("ts/fleet")
         : trouble.draw % controllerCount;
   }
 
-  private List<StandInWorker> some(Trouble trouble) {
-    List<StandInWorker> all = List.copyOf(workers.values());
+  private List<EmulatedWorker> some(Trouble trouble) {
+    List<EmulatedWorker> all = List.copyOf(workers.values());
     return all.subList(0, all.size() * (1 + trouble.draw % 3) / 3);
   }
 
@@ -342,10 +343,10 @@
           });
         }
       }
-      case FEW_WRITES -> store.writesPerSecond = 15 + trouble.draw % 25;
-      case UNHEARD -> some(trouble).forEach(worker -> unheard.add(worker.name));
-      case UNHEARING -> some(trouble).forEach(worker -> unhearing.add(worker.name));
-      case HUNG -> some(trouble).forEach(worker -> worker.hungUntil = loop.now().plus(lasts));
+      case FEW_WRITES -> store.limits(store.limits().withWrites(15 + trouble.draw % 25));
+      case UNHEARD -> some(trouble).forEach(worker -> unheard.add(worker.name()));
+      case UNHEARING -> some(trouble).forEach(worker -> unhearing.add(worker.name()));
+      case HUNG -> some(trouble).forEach(worker -> worker.hangUntil(loop.now().plus(lasts)));
       case COPIES -> copies = 0.6;
       case HELD -> {
         held = 0.4;
@@ -353,7 +354,7 @@
       }
       case LOSSES -> this.trouble = 0.05;
       case DELETIONS_LATE -> deletionsLate = Duration.ofMillis(trouble.draw * 8);
-      default -> some(trouble).forEach(worker -> uncommanded.add(worker.name));
+      default -> some(trouble).forEach(worker -> uncommanded.add(worker.name()));
     }
   }
 
@@ -368,7 +369,7 @@
         listLag = Duration.ZERO;
       }
       case ZONE_CUT -> cutZone = null;
-      case FEW_WRITES -> store.writesPerSecond = Double.MAX_VALUE;
+      case FEW_WRITES -> store.limits(store.limits().withWrites(Double.MAX_VALUE));
       case OUTAGE -> outage = false;
       case REFUSED -> refused = -1;
       case SLOW_STORE -> storeSlow = Duration.ZERO;
--- a/src/test/java/io/tansystack/sim/GapTest.java
+++ b/src/test/java/io/tansystack/sim/GapTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.tansystack.emulator.EmulatedWorker;
 import io.tansystack.settings.SettingsTest;
 import java.time.Duration;
 import java.util.HashMap;
@@ -52,7 +53,7 @@
   /** The controller to which most workers report. */
   private int ownerOfMost() {
     Map<Integer, Integer> counts = new HashMap<>();
-    workers.values().forEach(worker -> counts.merge(worker.target, 1, Integer::sum));
+    workers.values().forEach(worker -> counts.merge(target(worker), 1, Integer::sum));
     return counts.entrySet().stream().max(Map.Entry.comparingByValue()).orElseThrow().getKey();
   }
 
@@ -146,21 +147,21 @@
       heldFor = Duration.ofSeconds(70);
     }
     running(18, 43, 40);
-    List<StandInWorker> all = List.copyOf(workers.values());
+    List<EmulatedWorker> all = List.copyOf(workers.values());
     if (state.startsWith("hung")) {
       Duration until = loop.now().plusSeconds(state.equals("hung") ? 14 : 60);
-      all.subList(0, all.size() / 2).forEach(worker -> worker.hungUntil = until);
+      all.subList(0, all.size() / 2).forEach(worker -> worker.hangUntil(until));
     }
     if (state.equals("commands held up")) {
       held = 0.7;
       heldFor = Duration.ofSeconds(70);
     }
     if (state.equals("saving")) {
-      all.forEach(worker -> worker.noticeS = 200.0);
+      all.forEach(worker -> worker.noticeS(200.0));
     }
     gap(holder("ts/fleet"), 0, Duration.ofSeconds(2), Duration.ofSeconds(55));
     held = 0;
-    all.forEach(worker -> worker.noticeS = null);
+    all.forEach(worker -> worker.noticeS(null));
     users.calm();
     loop.runFor(Duration.ofSeconds(130));
     assertEquals(Set.of(), users.judge().atTheEnd());
@@ -274,7 +275,7 @@
     }
     loop.runFor(Duration.ofSeconds(60));
     inTime("its owner ended");
-    assertEquals(0, workers.values().stream().mapToInt(worker -> worker.lost).sum(), "leases that ran out");
+    assertEquals(0, workers.values().stream().mapToInt(worker -> worker.lostTasks()).sum(), "leases that ran out");
     users.calm();
     loop.runFor(Duration.ofSeconds(80));
     assertEquals(Set.of(), users.judge().atTheEnd());
@@ -300,7 +301,7 @@
     }
     loop.runFor(Duration.ofSeconds(70));
     inTime("all away for " + awayS + " s");
-    assertEquals(0, workers.values().stream().mapToInt(worker -> worker.lost).sum(), "leases that ran out");
+    assertEquals(0, workers.values().stream().mapToInt(worker -> worker.lostTasks()).sum(), "leases that ran out");
     users.calm();
     loop.runFor(Duration.ofSeconds(80));
     assertEquals(Set.of(), users.judge().atTheEnd());
--- a/src/test/java/io/tansystack/sim/HalfHeardTest.java
+++ b/src/test/java/io/tansystack/sim/HalfHeardTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.tansystack.emulator.EmulatedWorker;
 import io.tansystack.wire.Cbor;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -63,14 +64,14 @@
   @CsvSource({"5, 3", "34, 3", "38, 3", "150, 3", "150, 8"})
   void machinesThatDoNotHearAreLeftAlone(int seconds, int count) throws Exception {
     running(3, 20, 80);
-    List<StandInWorker> deaf = List.copyOf(workers.values()).subList(0, count);
-    deaf.forEach(worker -> unhearing.add(worker.name));
+    List<EmulatedWorker> deaf = List.copyOf(workers.values()).subList(0, count);
+    deaf.forEach(worker -> unhearing.add(worker.name()));
     Map<String, Long> before = new HashMap<>();
-    deaf.forEach(worker -> before.put(worker.name, store.writes("ts/machines/" + worker.name)));
+    deaf.forEach(worker -> before.put(worker.name(), store.writes("ts/machines/" + worker.name())));
     loop.runFor(Duration.ofSeconds(seconds));
-    for (StandInWorker worker : deaf) {
-      long writes = store.writes("ts/machines/" + worker.name) - before.get(worker.name);
-      assertTrue(writes <= 5, writes + " writes for " + worker.name);
+    for (EmulatedWorker worker : deaf) {
+      long writes = store.writes("ts/machines/" + worker.name()) - before.get(worker.name());
+      assertTrue(writes <= 5, writes + " writes for " + worker.name());
     }
     unhearing.clear();
     work(40);
@@ -85,7 +86,7 @@
     loop.runFor(Duration.ofSeconds(2));
     users.cancel("wk-000000", Users.ANY);
     loop.runFor(Duration.ofSeconds(62));
-    workers.values().forEach(worker -> assertEquals(List.of(), worker.live(), worker.name));
+    workers.values().forEach(worker -> assertEquals(List.of(), worker.live(), worker.name()));
     assertEquals(Set.of(), users.judge().broken);
     assertEquals("withdrawn", state("wk-000000"));
   }
@@ -109,7 +110,7 @@
     }
     apart.clear();
     loop.runFor(Duration.ofSeconds(60));
-    assertEquals(0, workers.values().stream().mapToInt(worker -> worker.lost).sum(), "leases that ran out");
+    assertEquals(0, workers.values().stream().mapToInt(worker -> worker.lostTasks()).sum(), "leases that ran out");
     assertTrue(started.size() >= before);
     allIsWell("apart for " + seconds + " s");
   }
@@ -122,8 +123,8 @@
     copies = 0.5;
     running(3, 12, 100);
     for (int i = 0; i < 3; i++) {
-      List<StandInWorker> all = List.copyOf(workers.values());
-      all.get(random.nextInt(all.size())).dead = true;
+      List<EmulatedWorker> all = List.copyOf(workers.values());
+      all.get(random.nextInt(all.size())).die();
       kill(i);
       loop.runFor(Duration.ofMillis(200));
       boot(i);
@@ -138,10 +139,10 @@
   @Test
   void aCopyFromAMachineThatIsGoneStartsNothing() throws Exception {
     running(3, 12, 20);
-    StandInWorker gone = workers.values().iterator().next();
+    EmulatedWorker gone = workers.values().iterator().next();
     byte[] body = Cbor.encode(gone.report().write());
     loop.runFor(Duration.ofSeconds(200));
-    assertTrue(!workers.containsKey(gone.name), "idle, and given back");
+    assertTrue(!workers.containsKey(gone.name()), "idle, and given back");
     long before = store.writes("ts/lots/") + store.writes("ts/machines/");
     int[] status = new int[controllerCount];
     for (int i = 0; i < controllerCount; i++) {
@@ -156,13 +157,13 @@
 
   /** What is drawn: each lasts for a while of its own, and the next may come before it is over. */
   private void strike() {
-    List<StandInWorker> all = List.copyOf(workers.values());
+    List<EmulatedWorker> all = List.copyOf(workers.values());
     int victim = random.nextInt(controllerCount);
     Duration lasts = Duration.ofMillis(300 + random.nextInt(50_000));
     switch (random.nextInt(9)) {
       case 0 -> {
         List<String> deaf = new ArrayList<>();
-        all.subList(0, all.size() * 2 / 5).forEach(worker -> deaf.add(worker.name));
+        all.subList(0, all.size() * 2 / 5).forEach(worker -> deaf.add(worker.name()));
         unhearing.addAll(deaf);
         loop.after(lasts, () -> unhearing.removeAll(deaf));
       }
--- a/src/test/java/io/tansystack/sim/Judge.java
+++ b/src/test/java/io/tansystack/sim/Judge.java
@@ -1,5 +1,6 @@
 package io.tansystack.sim;
 
+import io.tansystack.emulator.EmulatedWorker;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
@@ -89,15 +90,15 @@
     Map<String, Map<String, Integer>> zones = new HashMap<>();
     Map<String, double[]> used = new LinkedHashMap<>();
     Set<String> now = new HashSet<>();
-    for (StandInWorker worker : cluster.workers.values()) {
+    for (EmulatedWorker worker : cluster.workers.values()) {
       for (String attempt : worker.attempts()) {
         String task = attempt.substring(0, attempt.indexOf('#'));
-        String other = where.put(task, worker.name);
+        String other = where.put(task, worker.name());
         if (other != null) {
-          broken.add("ran_twice " + task + " on " + other + " and " + worker.name);
+          broken.add("ran_twice " + task + " on " + other + " and " + worker.name());
         }
-        boolean starts = !there.contains(worker.name + " " + attempt);
-        now.add(worker.name + " " + attempt);
+        boolean starts = !there.contains(worker.name() + " " + attempt);
+        now.add(worker.name() + " " + attempt);
         Told told = users.jobs.get(task.substring(0, task.indexOf('/')));
         if (told == null) {
           continue;
@@ -105,7 +106,7 @@
         double[] team = used.computeIfAbsent(told.spec.team(), k -> new double[2]);
         team[0] += told.spec.cpus();
         team[1] += told.spec.gpus();
-        zones.computeIfAbsent(told.spec.id(), k -> new HashMap<>()).merge(worker.zone, 1, Integer::sum);
+        zones.computeIfAbsent(told.spec.id(), k -> new HashMap<>()).merge(worker.zone(), 1, Integer::sum);
         if (starts) {
           started(told, task, worker);
         }
@@ -119,14 +120,14 @@
     zones.forEach((id, counts) -> place(users.jobs.get(id).spec, counts));
   }
 
-  private void started(Told told, String task, StandInWorker worker) {
+  private void started(Told told, String task, EmulatedWorker worker) {
     JobSpec spec = told.spec;
-    boolean allowedType = spec.types() == null || spec.types().contains(worker.type.name());
-    if (!allowedType || (worker.spot && !spec.spotOk())) {
-      broken.add("wrong_place " + task + " on " + worker.type.name() + (worker.spot ? ", which is spot" : ""));
+    boolean allowedType = spec.types() == null || spec.types().contains(worker.type().name());
+    if (!allowedType || (worker.spot() && !spec.spotOk())) {
+      broken.add("wrong_place " + task + " on " + worker.type().name() + (worker.spot() ? ", which is spot" : ""));
     }
     if (told.cancelled != null) {
-      lateStarts.add(new LateStart(task, worker.name, cluster.loop.now().minus(told.cancelled)));
+      lateStarts.add(new LateStart(task, worker.name(), cluster.loop.now().minus(told.cancelled)));
     }
     served.started(told);
   }
@@ -138,11 +139,11 @@
     }
   }
 
-  private void stillThere(Told told, StandInWorker worker) {
+  private void stillThere(Told told, EmulatedWorker worker) {
     Duration since = cluster.loop.now().minus(told.cancelled);
     lastOfCancelled = since.compareTo(lastOfCancelled) > 0 ? since : lastOfCancelled;
     if (since.compareTo(cancel) > 0) {
-      broken.add("ran_cancelled " + told.spec.id() + " on " + worker.name);
+      broken.add("ran_cancelled " + told.spec.id() + " on " + worker.name());
     }
   }
 
--- a/src/test/java/io/tansystack/sim/JudgeTest.java
+++ b/src/test/java/io/tansystack/sim/JudgeTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.tansystack.emulator.EmulatedWorker;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.settings.SettingsTest;
 import io.tansystack.sim.Users.Known;
@@ -26,11 +27,11 @@
 
   private final Users users = new Users(this);
   private final Judge judge = users.judge();
-  private final StandInWorker first = worker("a");
-  private final StandInWorker second = worker("b");
+  private final EmulatedWorker first = worker("a");
+  private final EmulatedWorker second = worker("b");
   private Told told;
 
-  private StandInWorker worker(String zone) {
+  private EmulatedWorker worker(String zone) {
     return workers.get(addWorker(zone));
   }
 
@@ -60,19 +61,19 @@
     users.answered(told, known, 200, Cbor.encode(Cbor.map().put("Status", state)));
   }
 
-  private void start(StandInWorker worker, int task) {
+  private void start(EmulatedWorker worker, int task) {
     start(worker, "wk-000001/" + task);
   }
 
-  private void start(StandInWorker worker, String task) {
+  private void start(EmulatedWorker worker, String task) {
     command(worker, "launch", task);
   }
 
-  private void command(StandInWorker worker, String command, String task) {
-    ObjectNode orders = Cbor.map().put("Baton", worker.token).put("Shift", worker.session);
+  private void command(EmulatedWorker worker, String command, String task) {
+    ObjectNode orders = Cbor.map().put("Baton", worker.token()).put("Shift", worker.session());
     orders.putArray("Signals").addObject().put("Aspect", command).put("Wagon", task).put("Departure", 1)
         .put("SlackS", 0);
-    assertEquals(200, worker.orders(orders));
+    assertEquals(200, worker.commands(orders));
   }
 
   /** Two teams, of which the second may use two GPUs and no more than 40 CPUs, like the first. */
@@ -152,9 +153,9 @@
       case "ran_cancelled after it hung" -> {
         accepted(job(1, null, false, false));
         run = Duration.ofSeconds(500);
-        first.lease = Duration.ofSeconds(100);
+        first.lease(Duration.ofSeconds(100));
         start(first, 0);
-        first.hungUntil = loop.now().plusSeconds(60);
+        first.hangUntil(loop.now().plusSeconds(60));
         told.asksToCancel = true;
         answer("withdrawn");
         loop.runFor(Duration.ofSeconds(62));
@@ -267,7 +268,7 @@
     loop.runFor(Duration.ofSeconds(3));
     start(first, 0);
     assertEquals(
-        List.of(new Judge.LateStart("wk-000001/0", first.name, Duration.ofSeconds(3))), judge.lateStarts);
+        List.of(new Judge.LateStart("wk-000001/0", first.name(), Duration.ofSeconds(3))), judge.lateStarts);
     assertEquals(0, judge.broken.size(), judge.broken.toString());
   }
 
--- a/src/test/java/io/tansystack/sim/Meeting.java
+++ b/src/test/java/io/tansystack/sim/Meeting.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.tansystack.emulator.EmulatedWorker;
 import io.tansystack.settings.SettingsTest;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.Priority;
@@ -94,7 +95,7 @@
     return String.format("wk-%06d", job);
   }
 
-  List<StandInWorker> machines() {
+  List<EmulatedWorker> machines() {
     return new ArrayList<>(workers.values());
   }
 
--- a/src/test/java/io/tansystack/sim/MeetingsTest.java
+++ b/src/test/java/io/tansystack/sim/MeetingsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.tansystack.emulator.EmulatedWorker;
 import io.tansystack.wire.Cbor;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -37,14 +38,14 @@
     heldFor = Duration.ofSeconds(seconds);
     work(4, 6);
     loop.runFor(Duration.ofSeconds(3));
-    List<StandInWorker> all = List.copyOf(workers.values());
+    List<EmulatedWorker> all = List.copyOf(workers.values());
     switch (meanwhile) {
       case "heir" -> {
         kill(holder("ts/fleet"));
         loop.runFor(Duration.ofSeconds(40));
       }
       case "session" -> {
-        all.subList(0, 7).forEach(worker -> worker.hungUntil = loop.now().plusSeconds(38));
+        all.subList(0, 7).forEach(worker -> worker.hangUntil(loop.now().plusSeconds(38)));
         loop.runFor(Duration.ofSeconds(45));
       }
       case "restart" -> {
@@ -182,7 +183,7 @@
       users().cancel(id(random.nextInt(jobs)), Users.ANY);
       loop.runFor(Duration.ofMillis(500 + random.nextInt(6000)));
       if (round == 1) {
-        workers.values().stream().limit(3).forEach(worker -> worker.hungUntil = loop.now().plusSeconds(45));
+        workers.values().stream().limit(3).forEach(worker -> worker.hangUntil(loop.now().plusSeconds(45)));
       }
       end(random.nextInt(4), new int[] {100, 900, 4000, 12_000}[random.nextInt(4)]);
       loop.runFor(Duration.ofMillis(500 + random.nextInt(9000)));
@@ -257,7 +258,7 @@
     }
     allIsWell(change);
     int tasks = users().jobs.values().stream().mapToInt(told -> told.spec.tasks()).sum();
-    int lost = workers.values().stream().mapToInt(worker -> worker.lost).sum();
+    int lost = workers.values().stream().mapToInt(worker -> worker.lostTasks()).sum();
     assertTrue(started.size() <= tasks + lost, started.size() + " starts of " + tasks + ", " + lost + " lost");
     assertEquals(tasks, new HashSet<>(completed).size(), "none is lost and none is done twice");
   }
@@ -275,15 +276,15 @@
     random = new Random(seconds);
     run = Duration.ofSeconds(130);
     running(3, 15, 18, 2);
-    List<StandInWorker> some = List.copyOf(workers.values()).subList(0, 6);
-    for (StandInWorker worker : some) {
+    List<EmulatedWorker> some = List.copyOf(workers.values()).subList(0, 6);
+    for (EmulatedWorker worker : some) {
       switch (how) {
-        case "unheard" -> unheard.add(worker.name);
-        case "unhearing" -> unhearing.add(worker.name);
-        default -> worker.hungUntil = loop.now().plusSeconds(seconds);
+        case "unheard" -> unheard.add(worker.name());
+        case "unhearing" -> unhearing.add(worker.name());
+        default -> worker.hangUntil(loop.now().plusSeconds(seconds));
       }
     }
-    some.get(0).noticeS = 60.0;
+    some.get(0).noticeS(60.0);
     loop.runFor(Duration.ofSeconds(1));
     end(holder("ts/fleet"), 60_000);
     loop.runFor(Duration.ofSeconds(2));
@@ -293,7 +294,7 @@
     unheard.clear();
     unhearing.clear();
     loop.runFor(Duration.ofSeconds(60));
-    some.get(0).noticeS = null;
+    some.get(0).noticeS(null);
     allIsWell(how + " for " + seconds + " s");
   }
 }
--- a/src/test/java/io/tansystack/sim/OutcomesTest.java
+++ b/src/test/java/io/tansystack/sim/OutcomesTest.java
@@ -3,8 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.tansystack.emulator.StoreLimits;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.cluster.World;
+import io.tansystack.records.JobRecord;
 import io.tansystack.wire.Cbor;
 import java.time.Duration;
 import java.util.function.Function;
@@ -114,12 +117,14 @@
 
   private Start start(int ended, Function<String, String> key) throws Exception {
     store.clear();
-    store.pageSize = 1000;
-    store.fillWith(ended, key);
+    store.limits(store.limits().withPages(StoreLimits.MAX_PAGE));
+    ObjectNode outcome = JobRecord.outcome(JobRecord.Phase.DONE).write();
+    for (int i = 0; i < ended; i++) {
+      store.preset(key.apply(String.format("wk-%07d", i)), outcome);
+    }
     controllerCount = 3;
-    store.requestsPerSecond = 200;
-    store.requests = 0;
-    store.refused = 0;
+    store.limits(store.limits().withRequests(200));
+    store.resetCounts();
     Duration from = loop.now();
     bootAll();
     int[] ready = {0};
@@ -132,7 +137,7 @@
             .front("GET", "/up", new byte[0], (status, body, r) -> ready[0] += status == 200 ? 1 : 0);
       }
     }
-    Start start = new Start(store.requests, store.refused, loop.now().minus(from));
+    Start start = new Start((int) store.requests(), (int) store.refused(), loop.now().minus(from));
     killAll();
     return start;
   }
--- a/src/test/java/io/tansystack/sim/PlacesTest.java
+++ b/src/test/java/io/tansystack/sim/PlacesTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.tansystack.emulator.EmulatedWorker;
 import io.tansystack.wire.Priority;
 import io.tansystack.wire.Shape;
 import java.time.Duration;
@@ -59,7 +60,7 @@
     random = new Random(seconds);
     run = Duration.ofSeconds(70);
     running(3, 14, 20, 2);
-    machines().stream().limit(count).forEach(worker -> unheard.add(worker.name));
+    machines().stream().limit(count).forEach(worker -> unheard.add(worker.name()));
     for (int i = 0; i < 8; i++) {
       String id = id(i);
       loop.after(Duration.ofMillis(seconds * 100L * i), () -> users().cancel(id, Users.ANY));
@@ -114,9 +115,9 @@
           scatter && i % 2 == 1);
     }
     loop.runFor(Duration.ofSeconds(14));
-    List<StandInWorker> there = machines().stream().filter(worker -> worker.zone.equals("b")).toList();
+    List<EmulatedWorker> there = machines().stream().filter(worker -> worker.zone().equals("b")).toList();
     assertTrue(there.size() > 2, "machines in the zone");
-    there.subList(0, there.size() * 3 / 4).forEach(StandInWorker::die);
+    there.subList(0, there.size() * 3 / 4).forEach(EmulatedWorker::die);
     full.add("b");
     loop.runFor(Duration.ofSeconds(1));
     strike(change, holder("ts/fleet"), Duration.ofSeconds(11));
--- a/src/test/java/io/tansystack/sim/Served.java
+++ b/src/test/java/io/tansystack/sim/Served.java
@@ -1,5 +1,6 @@
 package io.tansystack.sim;
 
+import io.tansystack.emulator.EmulatedWorker;
 import io.tansystack.sim.Users.Told;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.Shape;
@@ -55,7 +56,7 @@
     }
     Map<String, double[]> used = new HashMap<>();
     Map<String, Integer> live = new HashMap<>();
-    for (StandInWorker worker : cluster.workers.values()) {
+    for (EmulatedWorker worker : cluster.workers.values()) {
       for (String task : worker.live()) {
         String id = task.substring(0, task.indexOf('/'));
         JobSpec spec = users.jobs.containsKey(id) ? users.jobs.get(id).spec : SimCluster.spec(id, 1);
@@ -103,8 +104,8 @@
   private boolean isAnywhere(JobSpec spec) {
     long zones =
         cluster.workers.values().stream()
-            .filter(worker -> spec.allows(worker.type.name(), worker.zone, worker.spot))
-            .map(worker -> worker.zone)
+            .filter(worker -> spec.allows(worker.type().name(), worker.zone(), worker.spot()))
+            .map(worker -> worker.zone())
             .distinct()
             .count();
     return zones >= (spec.scatter() && together(spec) > 1 ? 2 : 1);
@@ -114,10 +115,10 @@
   private boolean hasRoom(JobSpec spec) {
     int together = together(spec);
     Map<String, Integer> fit = new HashMap<>();
-    for (StandInWorker worker : cluster.workers.values()) {
-      boolean allowed = !worker.dead && !worker.hangs() && spec.allows(worker.type.name(), worker.zone, worker.spot);
+    for (EmulatedWorker worker : cluster.workers.values()) {
+      boolean allowed = !worker.isDead() && !worker.hangs() && spec.allows(worker.type().name(), worker.zone(), worker.spot());
       if (allowed && worker.hasRoomFor(spec)) {
-        fit.merge(worker.zone, 1, Integer::sum); // One task a machine: what is counted is there for certain.
+        fit.merge(worker.zone(), 1, Integer::sum); // One task a machine: what is counted is there for certain.
       }
     }
     int most = spec.scatter() ? (together + 1) / 2 : together;
--- a/src/test/java/io/tansystack/sim/SimCluster.java
+++ b/src/test/java/io/tansystack/sim/SimCluster.java
@@ -1,5 +1,6 @@
 package io.tansystack.sim;
 
+import io.tansystack.emulator.EmulatedWorker;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.cli.Controller;
 import io.tansystack.wire.Cbor;
@@ -34,7 +35,7 @@
     if (settings.contains("cpus_max = 40.0") && running > 40) {
       broken.add("quota: " + running + " tasks of one processor, 40 allowed");
     }
-    for (StandInWorker worker : workers.values()) {
+    for (EmulatedWorker worker : workers.values()) {
       for (String task : worker.live()) {
         if (!seen.add(task)) {
           broken.add("on two machines: " + task);
@@ -45,7 +46,7 @@
 
   /** Which controller holds a slot or the fleet. */
   int holder(String key) {
-    return Integer.parseInt(store.values.get(key).get("label").asText().substring(2));
+    return Integer.parseInt(store.value(key).get("label").asText().substring(2));
   }
 
   /** Its process starts after a while, unless it is there by then. */
--- a/src/test/java/io/tansystack/sim/SimFleet.java
+++ b/src/test/java/io/tansystack/sim/SimFleet.java
@@ -1,5 +1,6 @@
 package io.tansystack.sim;
 
+import io.tansystack.emulator.EmulatedWorker;
 import com.fasterxml.jackson.databind.JsonNode;
 import io.tansystack.cli.Controller;
 import io.tansystack.http.HttpServer.Reply;
@@ -15,9 +16,9 @@
   @Override
   String addWorker(SimType type, String zone, boolean spot) {
     String name = String.format("n-%06d", machineCounter);
-    StandInWorker worker =
-        new StandInWorker(
-            this, name, "127.0.0.1:" + (9000 + machineCounter), type, zone, spot,
+    EmulatedWorker worker =
+        new EmulatedWorker(
+            this, gangs, name, "127.0.0.1:" + (9000 + machineCounter), offered(type), zone, spot,
             Duration.ofMillis((long) (setting("lease_s") * 1000)));
     machineCounter++;
     workers.put(name, worker);
@@ -25,20 +26,20 @@
     return name;
   }
 
-  void report(StandInWorker worker) {
-    if (worker.dead) {
+  void report(EmulatedWorker worker) {
+    if (worker.isDead()) {
       return;
     }
     if (worker.hangs()) {
-      loop.after(worker.hungUntil.minus(loop.now()), () -> report(worker));
+      loop.after(worker.hungUntil().minus(loop.now()), () -> report(worker));
       return;
     }
     Duration sentAt = loop.now();
-    long session = worker.session;
+    long session = worker.session();
     boolean[] over = {false};
-    Controller controller = controllers.get(worker.target);
+    Controller controller = controllers.get(target(worker));
     Runnable next = () -> {
-      worker.target = (worker.target + 1) % controllerCount;
+      target(worker, (target(worker) + 1) % controllerCount);
       loop.after(Duration.ofSeconds(1), () -> report(worker));
     };
     loop.after(Duration.ofSeconds(4), () -> {
@@ -52,10 +53,10 @@
       next.run();
       return;
     }
-    if (silent.contains(worker.target)
-        || cutOff(worker.zone, zoneOf(worker.target))
-        || deafTo == worker.target
-        || unheard.contains(worker.name)
+    if (silent.contains(target(worker))
+        || cutOff(worker.zone(), zoneOf(target(worker)))
+        || deafTo == target(worker)
+        || unheard.contains(worker.name())
         || random.nextDouble() < trouble) {
       return;
     }
@@ -69,7 +70,7 @@
       }
     }
     Reply reply = (status, bytes, r) -> {
-      if (over[0] || lost || worker.dead || worker.hangs() || unhearing.contains(worker.name)) {
+      if (over[0] || lost || worker.isDead() || worker.hangs() || unhearing.contains(worker.name())) {
         return;
       }
       over[0] = true;
@@ -77,13 +78,13 @@
         worker.answered(status, decode(bytes), sentAt, session);
         loop.after(Duration.ofMillis(1500), () -> report(worker));
       } else if (status == 421 && decode(bytes).has("Dispatcher")) {
-        worker.target = Integer.parseInt(decode(bytes).get("Dispatcher").asText().substring(2));
+        target(worker, Integer.parseInt(decode(bytes).get("Dispatcher").asText().substring(2)));
         loop.after(Duration.ofMillis(300), () -> report(worker));
       } else {
         next.run();
       }
     };
-    processes.get(worker.target).run(() -> controller.front("POST", "/v1/report", body, reply));
+    processes.get(target(worker)).run(() -> controller.front("POST", "/v1/report", body, reply));
   }
 
   /** From seconds to well over a lease later, and whoever answers, nobody hears it. */
@@ -111,7 +112,7 @@
 
   /** Who holds the fleet; -1 for nobody. */
   int leader() {
-    JsonNode fleet = store.values.get("ts/fleet");
+    JsonNode fleet = store.value("ts/fleet");
     return fleet == null ? -1 : Integer.parseInt(fleet.get("label").asText().substring(2));
   }
 
--- a/src/test/java/io/tansystack/sim/SimNetwork.java
+++ b/src/test/java/io/tansystack/sim/SimNetwork.java
@@ -2,18 +2,29 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.cli.Controller;
+import io.tansystack.emulator.EmulatedCloud.MachinePark;
+import io.tansystack.emulator.EmulatedCloud;
+import io.tansystack.emulator.EmulatedGangs;
+import io.tansystack.emulator.EmulatedStore;
+import io.tansystack.emulator.EmulatedWorker;
+import io.tansystack.emulator.StoreLimits;
+import io.tansystack.emulator.WorkerEnvironment;
 import io.tansystack.http.HttpCaller;
 import io.tansystack.http.HttpServer.Reply;
+import io.tansystack.http.Loop;
 import io.tansystack.settings.OperatorSettings;
 import io.tansystack.settings.PlatformSettings;
 import io.tansystack.settings.SettingsTest;
 import io.tansystack.wire.BadInput;
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.JobSpec;
+import io.tansystack.wire.MachineType;
+import io.tansystack.wire.TaskId;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -31,13 +42,13 @@
  * time, and what lies between them: the network loses answers, delays requests by up to minutes, and
  * controllers are killed at any moment.
  */
-abstract class SimNetwork extends SimTroubles {
+abstract class SimNetwork extends SimTroubles implements WorkerEnvironment, MachinePark {
   static final InetSocketAddress STORE = new InetSocketAddress("127.0.0.1", 2379);
   static final InetSocketAddress CLOUD = new InetSocketAddress("127.0.0.1", 8443);
 
   final SimLoop loop = new SimLoop();
-  final StandInStore store = new StandInStore(loop, () -> this.outage);
-  final Map<String, StandInWorker> workers = new LinkedHashMap<>();
+  final EmulatedStore store = new EmulatedStore(loop, StoreLimits.none(), () -> this.outage);
+  final Map<String, EmulatedWorker> workers = new LinkedHashMap<>();
   final Map<Integer, Controller> controllers = new HashMap<>();
   final Map<Integer, SimLoop.Mortal> processes = new HashMap<>();
   final List<String> started = new ArrayList<>();
@@ -48,9 +59,15 @@
   /** The platform's settings, of which label, addresses and size are each controller's own. */
   String settings = SettingsTest.GOOD;
 
-  final StandInCloud cloud = new StandInCloud(this);
+  final EmulatedCloud cloud = new EmulatedCloud(loop, this);
 
-  final StandInGangs gangs = new StandInGangs(this);
+  final EmulatedGangs gangs = new EmulatedGangs(this);
+
+  /** How many tasks each job has that is a gang. */
+  final Map<String, Integer> gangSizes = new HashMap<>();
+
+  /** Which controller each worker reports to, by its index. */
+  private final Map<EmulatedWorker, Integer> targets = new HashMap<>();
 
   /** Where machines can be rented; the controllers are in the zone "a". */
   List<String> zones = List.of("a");
@@ -67,11 +84,141 @@
   /** How long after its rental a machine begins to report. */
   Duration boot = Duration.ofSeconds(5);
 
-  /** A machine type as the cloud offers it, in all zones. */
+  /** Machine types by name, CPUs, accelerators and memory; the cloud offers them in all zones. */
   record SimType(String name, double cpus, double gpus, double memGb) {}
 
   List<SimType> types = List.of(new SimType("small", 4, 0, 16));
 
+  private static final double CACHE_GB = 50;
+  private static final double FETCH_GB_PER_S = 1;
+  private static final double BOOT_S = 5;
+
+  MachineType offered(SimType type) {
+    return new MachineType(
+        type.name, type.cpus, type.gpus, type.memGb, CACHE_GB, FETCH_GB_PER_S,
+        1.0 + type.gpus, 0.3 + type.gpus, BOOT_S, zones);
+  }
+
+  @Override
+  public List<MachineType> types() {
+    return types.stream().map(this::offered).toList();
+  }
+
+  @Override
+  public String rent(MachineType type, String zone, boolean spot) {
+    if (workers.size() >= maxMachines || full.contains(zone)) {
+      return null;
+    }
+    SimType wanted =
+        types.stream().filter(t -> t.name.equals(type.name())).findFirst().orElseThrow();
+    return addWorker(wanted, zone, spot);
+  }
+
+  @Override
+  public void delete(String name) {
+    EmulatedWorker worker = workers.remove(name);
+    if (worker != null) {
+      worker.die();
+    }
+  }
+
+  @Override
+  public Collection<EmulatedWorker> rented() {
+    return workers.values();
+  }
+
+  @Override
+  public Duration listLag() {
+    return listLag;
+  }
+
+  @Override
+  public Duration bootTime(EmulatedWorker machine) {
+    return Duration.ZERO;
+  }
+
+  @Override
+  public Loop loop() {
+    return loop;
+  }
+
+  @Override
+  public JobSpec description(String job) {
+    return uploaded.get(job);
+  }
+
+  @Override
+  public Duration fetchTime(EmulatedWorker worker, String job) {
+    return fetch;
+  }
+
+  @Override
+  public Duration runTime(TaskId task) {
+    return gangSizes.containsKey(task.job()) ? run : runOf(task.toString());
+  }
+
+  @Override
+  public Duration saveTime() {
+    return save;
+  }
+
+  @Override
+  public Duration gangWait() {
+    return seconds("gang_wait_s");
+  }
+
+  @Override
+  public Duration gangPeerTimeout() {
+    return seconds("gang_peer_s");
+  }
+
+  private Duration seconds(String setting) {
+    return Duration.ofMillis((long) (setting(setting) * 1000));
+  }
+
+  @Override
+  public boolean refusesLaunch() {
+    return launchesRefused > 0 && random.nextDouble() < launchesRefused;
+  }
+
+  @Override
+  public int gangSize(String job) {
+    return gangSizes.getOrDefault(job, 0);
+  }
+
+  @Override
+  public boolean hasCompleted(TaskId task) {
+    return completed.contains(task.toString());
+  }
+
+  @Override
+  public void launched(EmulatedWorker worker, TaskId task) {
+    started.add(task + "@" + worker.name());
+  }
+
+  @Override
+  public void completed(TaskId task) {
+    completed.add(task.toString());
+  }
+
+  @Override
+  public void completionReported(EmulatedWorker worker, TaskId task) {
+    onCompleted.forEach(told -> told.accept(task.toString()));
+  }
+
+  @Override
+  public void changed(EmulatedWorker worker) {
+    onChange.forEach(Runnable::run);
+  }
+
+  int target(EmulatedWorker worker) {
+    return targets.getOrDefault(worker, 0);
+  }
+
+  void target(EmulatedWorker worker, int controller) {
+    targets.put(worker, controller);
+  }
+
   /** What users have uploaded: workers fetch descriptions themselves. */
   final Map<String, JobSpec> uploaded = new HashMap<>();
 
@@ -80,10 +227,6 @@
 
   final List<Consumer<String>> onCompleted = new ArrayList<>();
 
-  void changed() {
-    onChange.forEach(Runnable::run);
-  }
-
   /** Tasks that have completed on some machine. */
   final Set<String> completed = new HashSet<>();
 
@@ -115,8 +258,8 @@
     if (peer >= 0) {
       return zoneOf(peer);
     }
-    StandInWorker worker = workers.get(String.format("n-%06d", to.getPort() - 9000));
-    return worker == null ? "" : worker.zone;
+    EmulatedWorker worker = workers.get(String.format("n-%06d", to.getPort() - 9000));
+    return worker == null ? "" : worker.zone();
   }
 
   PlatformSettings settings(int me) throws Exception {
@@ -320,16 +463,16 @@
     } else if (to.equals(CLOUD)) {
       cloud.handle(path, decode(body), reply);
     } else if (to.getPort() >= 9000) {
-      for (StandInWorker worker : workers.values()) {
-        if (worker.address.endsWith(":" + to.getPort())
-            && !worker.dead
-            && !unhearing.contains(worker.name)
-            && !uncommanded.contains(worker.name)) {
+      for (EmulatedWorker worker : workers.values()) {
+        if (worker.address().endsWith(":" + to.getPort())
+            && !worker.isDead()
+            && !unhearing.contains(worker.name())
+            && !uncommanded.contains(worker.name())) {
           if (worker.hangs()) {
-            loop.after(worker.hungUntil.minus(loop.now()), () -> deliver(to, method, path, body, back));
+            loop.after(worker.hungUntil().minus(loop.now()), () -> deliver(to, method, path, body, back));
             return;
           }
-          int status = worker.orders(decode(body));
+          int status = worker.commands(decode(body));
           check();
           back.accept(status, Cbor.encode(worker.report().write()));
         }
--- a/src/test/java/io/tansystack/sim/StartTest.java
+++ b/src/test/java/io/tansystack/sim/StartTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.tansystack.emulator.EmulatedWorker;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.settings.SettingsTest;
 import java.time.Duration;
@@ -75,13 +76,13 @@
   }
 
   private int lost() {
-    return workers.values().stream().mapToInt(worker -> worker.lost).sum();
+    return workers.values().stream().mapToInt(worker -> worker.lostTasks()).sum();
   }
 
   private void noStorm() {
     check();
     assertEquals(Set.of(), broken);
-    workers.values().forEach(worker -> assertEquals(List.of(), worker.needless, worker.name));
+    workers.values().forEach(worker -> assertEquals(List.of(), worker.needlessCommands(), worker.name()));
   }
 
   private void allIsDoneInTheEnd(int lost) {
@@ -113,7 +114,7 @@
       anew(seed);
       running(controllers, machines);
       long before = handedOver();
-      int rentedBefore = cloud.rented.size();
+      int rentedBefore = cloud.rentals();
       endOfAll(spread(first, over, never));
       loop.runFor(Duration.ofMillis(first + over + 15_000));
       noStorm();
@@ -121,7 +122,7 @@
       assertTrue(
           handedOver() - before <= most,
           "seed " + seed + ": " + (handedOver() - before) + " writes for machines");
-      assertEquals(rentedBefore, cloud.rented.size(), "nothing was rented for what was not heard of yet");
+      assertEquals(rentedBefore, cloud.rentals(), "nothing was rented for what was not heard of yet");
       allIsDoneInTheEnd(0);
     }
   }
@@ -138,7 +139,7 @@
 
   /** What else may happen in such a night; whether work may be lost by it. */
   private boolean strike(String trouble) throws Exception {
-    List<StandInWorker> all = List.copyOf(workers.values());
+    List<EmulatedWorker> all = List.copyOf(workers.values());
     switch (trouble) {
       case "again" -> {
         loop.runFor(Duration.ofMillis(3000 + random.nextInt(4000)));
@@ -151,13 +152,13 @@
       }
       case "dying" -> {
         loop.runFor(Duration.ofSeconds(1));
-        for (StandInWorker worker : all.subList(0, Math.min(5, all.size()))) {
-          worker.dead = true;
-          workers.remove(worker.name);
+        for (EmulatedWorker worker : all.subList(0, Math.min(5, all.size()))) {
+          worker.die();
+          workers.remove(worker.name());
         }
       }
       case "hung" -> {
-        all.subList(0, all.size() / 3).forEach(worker -> unheard.add(worker.name));
+        all.subList(0, all.size() / 3).forEach(worker -> unheard.add(worker.name()));
         loop.after(Duration.ofSeconds(25 + random.nextInt(40)), unheard::clear);
       }
       case "cut" -> {
@@ -226,7 +227,7 @@
       }
     }
     store.clear();
-    workers.values().forEach(worker -> worker.dead = true);
+    workers.values().forEach(worker -> worker.die());
     workers.clear();
     started.clear();
     completed.clear();
--- a/src/test/java/io/tansystack/sim/StreamTest.java
+++ b/src/test/java/io/tansystack/sim/StreamTest.java
@@ -27,7 +27,7 @@
             .replace("write_rps = 200.0", "write_rps = " + writesPerSecond + ".0");
     run = Duration.ofSeconds(6);
     start(3, 16);
-    store.writesPerSecond = writesPerSecond;
+    store.limits(store.limits().withWrites(writesPerSecond));
     work(2, 4);
     loop.runFor(Duration.ofSeconds(14));
     long before = store.writes("");
@@ -51,7 +51,7 @@
     // Accepted, placed, over; an outcome that is put away, when nothing else is written, takes two writes more.
     long putAway = 2 * store.writes("ts-ended/");
     assertTrue(writes - putAway <= 3.5 * streamed, writes + " writes for " + streamed + " jobs, " + putAway + " put away");
-    assertTrue(store.refused <= 10, store.refused + " writes over the limit");
+    assertTrue(store.refused() <= 10, store.refused() + " writes over the limit");
     List<Long> waits =
         users().jobs.values().stream()
             .filter(told -> told.accepted != null)
--- a/src/test/java/io/tansystack/sim/TakeoverTest.java
+++ b/src/test/java/io/tansystack/sim/TakeoverTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.tansystack.emulator.EmulatedWorker;
 import io.tansystack.wire.Priority;
 import io.tansystack.wire.Shape;
 import java.time.Duration;
@@ -37,14 +38,14 @@
           null, false, false);
     }
     loop.runFor(Duration.ofSeconds(9));
-    List<StandInWorker> busy = machines().stream().filter(worker -> !worker.live().isEmpty()).toList();
+    List<EmulatedWorker> busy = machines().stream().filter(worker -> !worker.live().isEmpty()).toList();
     assertTrue(busy.size() > 2, "enough runs");
-    for (StandInWorker worker : busy.subList(0, busy.size() * 2 / 3)) {
+    for (EmulatedWorker worker : busy.subList(0, busy.size() * 2 / 3)) {
       switch (how) {
-        case "hung" -> worker.hungUntil = loop.now().plusSeconds(seconds);
-        case "unheard" -> unheard.add(worker.name);
-        case "unhearing" -> unhearing.add(worker.name);
-        default -> uncommanded.add(worker.name);
+        case "hung" -> worker.hangUntil(loop.now().plusSeconds(seconds));
+        case "unheard" -> unheard.add(worker.name());
+        case "unhearing" -> unhearing.add(worker.name());
+        default -> uncommanded.add(worker.name());
       }
       worker.live().forEach(task -> users().cancel(task.substring(0, task.indexOf('/')), Users.ANY));
     }
@@ -120,9 +121,9 @@
     for (int round = 0; round < 4; round++) {
       copiesForNext = true;
       copies = 0.7;
-      List<StandInWorker> all = machines();
+      List<EmulatedWorker> all = machines();
       all.get(random.nextInt(all.size())).die();
-      all.stream().limit(3).forEach(worker -> worker.hungUntil = loop.now().plusSeconds(39)); // A session more.
+      all.stream().limit(3).forEach(worker -> worker.hangUntil(loop.now().plusSeconds(39))); // A session more.
       work(4, 3);
       users().cancel(id(random.nextInt(jobs)), Users.ANY);
       loop.runFor(Duration.ofSeconds(30));
@@ -265,7 +266,7 @@
     random = new Random(everyS + backMs);
     run = Duration.ofSeconds(15);
     running(5, 16, 10, 3);
-    uncommanded.add(machines().get(0).name); // Cancelled work must not live on from leader to leader.
+    uncommanded.add(machines().get(0).name()); // Cancelled work must not live on from leader to leader.
     for (int change = 0; change < 10; change++) {
       end(Math.max(0, leader()), backMs);
       if (inOutage && change % 4 == 1) {
--- a/src/test/java/io/tansystack/sim/Users.java
+++ b/src/test/java/io/tansystack/sim/Users.java
@@ -120,7 +120,7 @@
     jobs.put(spec.id(), told);
     cluster.uploaded.put(spec.id(), spec);
     if (spec.shape() == Shape.GANG) {
-      cluster.gangs.sizes.put(spec.id(), spec.tasks());
+      cluster.gangSizes.put(spec.id(), spec.tasks());
     }
     submitAgain(told, at);
   }
