--- a/src/main/java/io/tansystack/fleet/FleetDuty.java
+++ b/src/main/java/io/tansystack/fleet/FleetDuty.java
@@ -38,6 +38,7 @@
 public final class FleetDuty {
   private static final Duration TURN = Duration.ofMillis(250);
   private static final Duration JUDGE_EVERY = Duration.ofSeconds(1);
+  private static final Duration BOOTING_KEPT = Duration.ofMillis(200);
   private static final Duration UNWRITABLE = Duration.ofMillis(3500);
   private static final Duration NEWS_LIFE = Duration.ofSeconds(3);
 
@@ -61,6 +62,8 @@
   private long heldVersion;
   private Duration heldSince;
   private ObjectNode heard;
+  private List<MachineState> booting = List.of();
+  private Duration bootingAt;
   private Duration heardAt;
 
   public FleetDuty(
@@ -208,8 +211,17 @@
     heardAt = loop.now();
   }
 
-  /** Machines that are booting, as far as is known here. */
+  /** Machines that are booting, as far as is known here; each pass asks, and few come or go between two. */
   public List<MachineState> booting() {
+    Duration now = loop.now();
+    if (bootingAt == null || now.minus(bootingAt).compareTo(BOOTING_KEPT) >= 0) {
+      bootingAt = now;
+      booting = findBooting();
+    }
+    return booting;
+  }
+
+  private List<MachineState> findBooting() {
     ObjectNode own = news();
     boolean fresh = heardAt != null && loop.now().minus(heardAt).compareTo(NEWS_LIFE) < 0;
     ObjectNode news = own != null ? own : fresh ? heard : null;
--- a/src/main/java/io/tansystack/jobs/Drafts.java
+++ b/src/main/java/io/tansystack/jobs/Drafts.java
@@ -13,11 +13,12 @@
 import io.tansystack.wire.StoreWire.Condition;
 import io.tansystack.workers.Proofs;
 import io.tansystack.workers.View;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
 
@@ -35,6 +36,9 @@
     }
   }
 
+  /** So many placements of replicas are written before one of anything else. */
+  private static final int REPLICAS_IN_A_ROW = 3;
+
   private final World world;
   private final SlotDuty slots;
   private final Function<String, View> views;
@@ -60,38 +64,73 @@
   /** Most urgent first. */
   List<Draft> all() {
     List<Draft> drafts = new ArrayList<>();
-    for (Map.Entry<String, JobRecord> entry : book.effective().entrySet()) {
-      Job job = world.job(entry.getKey());
-      if (!slots.holds(job.slot()) || book.isPending(entry.getKey())) {
+    for (String id : concerned()) {
+      Job job = world.job(id);
+      JobRecord known = book.effective().get(id);
+      if (job == null || known == null || !slots.holds(job.slot()) || book.isPending(id)) {
         continue;
       }
-      JobRecord known = entry.getValue();
-      boolean ends = known.phase() != job.record().phase();
-      JobRecord next = stopped(entry.getKey(), known);
-      List<JobRecord.Assignment> round = plan.placements().getOrDefault(entry.getKey(), List.of());
-      if (!round.isEmpty()) {
-        next = next.placed(round);
+      Draft draft = draft(job, known);
+      if (!draft.next().equals(job.record())) {
+        drafts.add(draft);
       }
-      boolean places = !round.isEmpty();
-      if (!limit.allows(next)) {
-        // Stops that split its parts have made it too long to be written; it shrinks as they end.
-        next = known;
-        places = false;
+    }
+    return inTurn(drafts);
+  }
+
+  /**
+   * Replicas that users wait for come first: a swarm of small jobs that end must not hold them up. But one
+   * write in a few is for what comes next in order, or where the write limit is used up for minutes by
+   * many small services nothing else would begin, beside machines that stand idle for it.
+   */
+  static List<Draft> inTurn(List<Draft> drafts) {
+    drafts.sort(
+        Comparator.comparing((Draft draft) -> !draft.ends())
+            .thenComparing(draft -> draft.spec().priority())
+            .thenComparing(draft -> !draft.places())
+            .thenComparingLong(draft -> draft.job().record().submittedMs()));
+    ArrayDeque<Draft> replicas = new ArrayDeque<>();
+    ArrayDeque<Draft> others = new ArrayDeque<>();
+    for (Draft draft : drafts) {
+      boolean replica = draft.places() && draft.spec().priority() == Priority.PRODUCTION;
+      (replica ? replicas : others).add(draft);
+    }
+    List<Draft> order = new ArrayList<>(drafts.size());
+    while (!replicas.isEmpty()) {
+      for (int i = 0; i < REPLICAS_IN_A_ROW && !replicas.isEmpty(); i++) {
+        order.add(replicas.poll());
       }
-      if (!next.equals(job.record())) {
-        drafts.add(new Draft(job, next, conditions(job, places), places, ends));
+      if (!others.isEmpty()) {
+        order.add(others.poll());
       }
     }
-    drafts.sort(
-        // A swarm of small jobs that end must not hold up the replicas that users wait for.
-        Comparator.comparing(
-                (Draft c) ->
-                    !(c.places && c.job.record().spec().priority() == Priority.PRODUCTION))
-            .thenComparing(c -> !c.ends)
-            .thenComparing(c -> c.job.record().spec().priority())
-            .thenComparing(c -> !c.places)
-            .thenComparingLong(c -> c.job.record().submittedMs()));
-    return drafts;
+    order.addAll(others);
+    return order;
+  }
+
+  /** Jobs whose records may have to change: by the plan, by a proof, or since a machine is recalled. */
+  private Set<String> concerned() {
+    Set<String> ids = new LinkedHashSet<>(plan.placements().keySet());
+    ids.addAll(plan.stops().keySet());
+    ids.addAll(book.proven());
+    ids.addAll(book.recalled());
+    return ids;
+  }
+
+  private Draft draft(Job job, JobRecord known) {
+    List<JobRecord.Assignment> round = plan.placements().getOrDefault(job.id(), List.of());
+    boolean places = !round.isEmpty();
+    boolean ends = known.phase() != job.record().phase();
+    JobRecord next = stopped(job.id(), known);
+    if (places) {
+      next = next.placed(round);
+    }
+    if (!limit.allows(next)) {
+      // Stops that split its parts have made it too long to be written; it shrinks as they end.
+      next = known;
+      places = false;
+    }
+    return new Draft(job, next, conditions(job, places), places, ends);
   }
 
   private JobRecord stopped(String id, JobRecord record) {
--- a/src/main/java/io/tansystack/jobs/FailureMemory.java
+++ b/src/main/java/io/tansystack/jobs/FailureMemory.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -128,6 +129,22 @@
     return failed.size() >= JOBS;
   }
 
+  /** Machines that are {@link #faulty} now. */
+  Set<String> faulty(Duration now) {
+    Set<String> faulty = new HashSet<>();
+    for (String machine : List.copyOf(machines.keySet())) {
+      if (faulty(machine, now)) {
+        faulty.add(machine);
+      }
+    }
+    return faulty;
+  }
+
+  /** Whether anything is remembered of the job. */
+  boolean knows(String job) {
+    return jobs.containsKey(job);
+  }
+
   void forget(String job) {
     jobs.remove(job);
   }
--- a/src/main/java/io/tansystack/jobs/JobBook.java
+++ b/src/main/java/io/tansystack/jobs/JobBook.java
@@ -9,17 +9,13 @@
 import io.tansystack.http.Loop;
 import io.tansystack.records.JobRecord;
 import io.tansystack.recovery.Coverage;
-import io.tansystack.schedule.Deadlines;
+import io.tansystack.schedule.ClusterRooms;
 import io.tansystack.schedule.Snapshot.JobState;
 import io.tansystack.schedule.Snapshot.MachineState;
 import io.tansystack.schedule.Snapshot;
-import io.tansystack.settings.PlatformSettings.Objective;
 import io.tansystack.settings.PlatformSettings.Team;
 import io.tansystack.settings.PlatformSettings;
-import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.MachineType;
-import io.tansystack.wire.Shape;
-import io.tansystack.wire.TaskReport;
 import io.tansystack.workers.Proofs;
 import io.tansystack.workers.View;
 import java.time.Duration;
@@ -43,24 +39,16 @@
 final class JobBook {
   private static final Logger log = LoggerFactory.getLogger(JobBook.class);
 
-  /** Users expect the largest jobs to begin within four minutes. */
-  private static final Duration DUE = Duration.ofSeconds(150);
-
   private record Pending(JobRecord record, long baseVersion, long revision) {}
 
   private final Loop loop;
   private final World world;
   private final SlotDuty slots;
-  private final PlatformSettings settings;
   private final Function<String, View> views;
-  private final Function<String, MachineType> types;
   private final InstantSource clock;
   private final Coverage coverage;
 
-  /** How long a job waits for others to end by themselves before it has them stopped. */
-  private final Map<String, Long> patienceMs = new HashMap<>();
-
-  private final Deadlines deadlines;
+  private final JobStates jobStates;
   private final Map<String, Team> teams = new HashMap<>();
   private final Map<String, Pending> pending = new HashMap<>();
   private final FailureMemory failures = new FailureMemory();
@@ -68,7 +56,20 @@
   private List<String> order = new ArrayList<>();
   private boolean orderChanged;
   private final Map<String, Proofs> proofs = new HashMap<>();
-  private final Map<String, MachineState> states = new HashMap<>();
+  private final ClusterRooms rooms = new ClusterRooms();
+  private final MachineStates machineStates;
+
+  /** Machines whose rooms are to be derived again, by the next pass. */
+  private final Set<String> dirtyMachines = new HashSet<>();
+
+  private Set<String> faultyBefore = Set.of();
+  private final RecalledMachines recalled;
+  private boolean typesMissing;
+  private boolean plans;
+
+  /** Jobs of which nothing is to be placed, as they stay until something touches them. */
+  private final Map<String, JobState> settled = new HashMap<>();
+
   private final Set<String> dirtyJobs = new HashSet<>();
   private final int maxProofConditions;
 
@@ -84,17 +85,13 @@
     this.loop = loop;
     this.world = world;
     this.slots = slots;
-    this.settings = settings;
     this.views = views;
-    this.types = types;
     this.clock = clock;
     this.coverage = coverage;
-    for (Objective aim : settings.objectives()) {
-      if (aim.kind().equals("wait") && aim.jobClass() != null) {
-        patienceMs.put(aim.jobClass(), Math.min(2000, aim.within().toMillis() * 2 / 5));
-      }
-    }
-    this.deadlines = new Deadlines(settings.objectives());
+    this.recalled = new RecalledMachines(world);
+    this.machineStates =
+        new MachineStates(world, views, types, settings.workers().report());
+    this.jobStates = new JobStates(settings.objectives(), failures, coverage);
     settings.teams().forEach(team -> teams.put(team.name(), team));
     // Next to the machines chosen in a round, the slot, the record, that it is not over, and the team.
     this.maxProofConditions = Math.max(1, settings.store().txnOps() * 2 - 4);
@@ -114,12 +111,8 @@
     for (String machine : touched.machines()) {
       touchedMachine(machine);
     }
-    if (touched.controllers()) {
-      // Tokens, and whether a machine is open, depend on its owner's record.
-      states.clear();
-      if (planned) {
-        markAll();
-      }
+    if (touched.controllers() && planned) {
+      markAll(); // Tokens, and whether a machine is open, depend on its owner's record.
     }
   }
 
@@ -129,28 +122,50 @@
    */
   boolean viewChanged(View old, View view) {
     String machine = view.report().machine();
+    recalled.observe(view);
     if (old == null
         || old.token() != view.token()
         || old.report().session() != view.report().session()) {
       touchedMachine(machine);
       return true;
     }
-    states.remove(machine);
+    markMachine(machine);
     Set<String> concerned = view.provesMoreThan(old);
     dirtyJobs.addAll(concerned);
     return !concerned.isEmpty();
   }
 
   private void touchedMachine(String name) {
-    states.remove(name);
+    markMachine(name);
+    if (world.machine(name) == null) {
+      recalled.forget(name);
+    }
     for (PlacementIndex.Placed placed : world.placedOn(name)) {
       dirtyJobs.add(placed.job().id());
     }
   }
 
-  /** All jobs are to be looked at again: this controller has come to plan, or ceased to. */
+  /** All jobs and machines are to be looked at again. */
   void markAll() {
     dirtyJobs.addAll(world.jobs().keySet());
+    markMachines();
+  }
+
+  /** This controller has come to plan, or ceased to: nothing that was kept counts any more. */
+  void startAnew(boolean plansNow) {
+    plans = plansNow;
+    rooms.clear();
+    settled.clear();
+    dirtyMachines.clear();
+    effective.values().forEach(record -> keepRooms(null, record));
+    markAll();
+  }
+
+  /** Who doesn't plan keeps no rooms. */
+  private void keepRooms(JobRecord before, JobRecord after) {
+    if (plans) {
+      rooms.job(before, after);
+    }
   }
 
   /** Looks again at what was marked, before a pass. */
@@ -175,6 +190,11 @@
     return Collections.unmodifiableSet(proofs.keySet());
   }
 
+  /** Jobs with something on a machine that the cloud is about to take away. */
+  Set<String> recalled() {
+    return recalled.jobs();
+  }
+
   Team team(String name) {
     return teams.get(name);
   }
@@ -187,12 +207,14 @@
   /** A write of the job is under way: until the copy shows it, the job counts as it was written. */
   void writing(Job job, JobRecord next) {
     pending.put(job.id(), new Pending(next, job.version(), 0));
+    settled.remove(job.id());
     dirtyJobs.add(job.id());
   }
 
   /** A replica of the job is being moved off the machine. */
   void movedOff(String id, String machine) {
     failures.movedOff(id, machine, loop.now());
+    settled.remove(id);
   }
 
   /** The write has come true as of a revision. */
@@ -223,8 +245,11 @@
   /** Takes the newest record of a job, with all proofs that are here, as what it is planned from. */
   private void refresh(String id) {
     Job job = world.job(id);
+    settled.remove(id);
     if (job == null) {
-      orderChanged |= effective.remove(id) != null;
+      JobRecord last = effective.remove(id);
+      orderChanged |= last != null;
+      keepRooms(last, null);
       proofs.remove(id);
       failures.forget(id);
       return;
@@ -242,7 +267,9 @@
       }
       record = record.absorbed(found.over());
     }
-    orderChanged |= effective.put(id, record) == null;
+    JobRecord before = effective.put(id, record);
+    orderChanged |= before == null || (before.spec() == null) != (record.spec() == null);
+    keepRooms(before, record);
   }
 
   /** The record as last written by this controller, while the copy doesn't show it yet. */
@@ -253,111 +280,75 @@
 
   /** What a pass looks at; {@code booting} are machines about to come. */
   Snapshot snapshot(List<MachineState> booting) {
-    List<MachineState> machines = new ArrayList<>();
     Duration now = loop.now();
     failures.retain(world.machines().keySet());
     coverage.count(world.machines().values(), name -> views.apply(name) != null, now);
-    for (MachineRecord record : world.machines().values()) {
-      boolean faulty = failures.faulty(record.name(), now);
-      MachineState known = faulty ? null : states.get(record.name());
-      if (known == null) {
-        MachineType type = types.apply(record.type());
-        if (type == null) {
-          continue;
-        }
-        known = state(record, type, views.apply(record.name()), faulty);
-        if (!faulty) {
-          states.put(record.name(), known); // The suspicion ends by time alone.
+    refreshMachines(now);
+    long wallMs = clock.millis();
+    List<JobState> jobs = new ArrayList<>();
+    for (String id : inOrder()) {
+      JobState state = settled.get(id);
+      if (state == null) {
+        state = jobStates.of(id, effective.get(id), pending.containsKey(id), now, wallMs);
+        if (!state.open() && state.waiting() && !failures.knows(id)) {
+          settled.put(id, state); // Nothing of it is to be placed, so time changes nothing.
         }
       }
-      machines.add(known);
+      jobs.add(state);
     }
-    long wallMs = clock.millis();
-    List<JobState> jobs = new ArrayList<>();
-    for (Map.Entry<String, JobRecord> entry : inOrder()) {
-      if (entry.getValue().spec() == null) {
-        continue;
+    return new Snapshot(rooms.machines(), booting, jobs, teams, coverage.coversAll());
+  }
+
+  /** The rooms that hold the records which the last snapshot shows. */
+  ClusterRooms rooms() {
+    return rooms;
+  }
+
+  /** Derives what changed of the machines; a suspicion ends by time alone. */
+  private void refreshMachines(Duration now) {
+    Set<String> faulty = failures.faulty(now);
+    dirtyMachines.addAll(faulty);
+    dirtyMachines.addAll(faultyBefore);
+    faultyBefore = faulty;
+    for (String name : dirtyMachines) {
+      MachineRecord record = world.machine(name);
+      MachineState state = record == null ? null : machineStates.of(record, faulty.contains(name));
+      if (state == null) {
+        rooms.remove(name);
+        typesMissing |= record != null;
+      } else {
+        rooms.machine(state);
       }
-      String id = entry.getKey();
-      boolean waiting = !pending.containsKey(id) && !failures.pauses(id, now);
-      JobRecord record = entry.getValue();
-      boolean impatient =
-          wallMs - record.submittedMs() >= patienceMs.getOrDefault(record.spec().jobClass(), 1000L)
-              && coverage.covers(record.spec());
-      // Of a service nothing ever completes, so failures alone say too little of it.
-      boolean suspected =
-          failures.suspected(id)
-              && record.done().isEmpty()
-              && record.spec().shape() != Shape.SERVICE;
-      jobs.add(
-          new JobState(
-              id,
-              record,
-              waiting,
-              impatient,
-              suspected,
-              record.active() ? deadlines.missed(record, wallMs) : 0,
-              failures.avoid(id, now),
-              record.untouched() && wallMs - record.submittedMs() >= DUE.toMillis()));
     }
-    return new Snapshot(machines, booting, jobs, teams, coverage.coversAll());
+    dirtyMachines.clear();
+    if (typesMissing) {
+      typesMissing = false;
+      markMachines(); // Its type may be known by the next pass.
+    }
+  }
+
+  private void markMachines() {
+    world.machines().keySet().forEach(this::markMachine);
+    rooms.names().forEach(this::markMachine);
+  }
+
+  private void markMachine(String name) {
+    if (plans) {
+      dirtyMachines.add(name);
+    }
   }
 
   /** By arrival: the planner sorts what is sorted already, which costs little. */
-  private List<Map.Entry<String, JobRecord>> inOrder() {
+  private List<String> inOrder() {
     if (orderChanged) {
       order = new ArrayList<>(effective.keySet());
+      order.removeIf(id -> effective.get(id).spec() == null);
       order.sort(
           Comparator.comparingLong((String id) -> effective.get(id).submittedMs())
               .thenComparing(Comparator.naturalOrder()));
       orderChanged = false;
     }
-    List<Map.Entry<String, JobRecord>> entries = new ArrayList<>(order.size());
-    for (String id : order) {
-      entries.add(Map.entry(id, effective.get(id)));
-    }
-    return entries;
-  }
-
-  private MachineState state(
-      MachineRecord record, MachineType type, View view, boolean faulty) {
-    Set<String> coming = new HashSet<>();
-    double queued = 0;
-    if (view != null) {
-      for (TaskReport task : view.report().tasks()) {
-        if (task.state() == TaskReport.State.FETCHING) {
-          Job job = world.job(task.task().job());
-          JobSpec spec = job == null ? null : job.record().spec();
-          if (spec != null && !view.images().containsKey(spec.image()) && coming.add(spec.image())) {
-            queued += spec.imageGb();
-          }
-        }
-      }
-    }
-    long patience = settings.workers().report().toMillis() * 5 / 2 + 500;
-    boolean open =
-        view != null
-            && !record.drain()
-            && !faulty
-            && world.alive(record.owner())
-            && view.token() == world.token(record)
-            && view.report().token() > 0 // Else a late copy of a report may be all there is of it.
-            && view.report().noticeS() == null
-            && !view.unhearing()
-            && view.silentMs() < patience;
-    return new MachineState(
-        record.name(),
-        type,
-        record.zone(),
-        record.spot(),
-        view == null ? 0 : view.report().session(),
-        open,
-        record.drain(),
-        view == null ? Set.of() : view.images().keySet(),
-        coming,
-        queued,
-        view != null && view.fetchGbPerS() > 0 ? view.fetchGbPerS() : Math.max(0.01, type.fetchGbPerS()),
-        view != null && view.slowness() > 0 ? view.slowness() : 1);
+    return order;
   }
 
   private void remember(String job, Proofs found) {
--- a/src/main/java/io/tansystack/jobs/JobDuty.java
+++ b/src/main/java/io/tansystack/jobs/JobDuty.java
@@ -37,17 +37,22 @@
   private static final Duration LOOK_GAP = Duration.ofMillis(500);
 
   /**
-   * A pass is followed by a pause of so many times its length: reports and renewals come first, and
-   * all controllers together must not spend more on planning than on anything else. Shorter where
-   * one of our jobs has just come.
+   * A pass is followed by a pause of so many times its length, so that planning takes a thirtieth of the
+   * processor: reports and renewals come first. Shorter where one of our jobs has just come.
    */
-  private static final int REST = 120;
+  private static final int REST = 30;
 
   /** What waits for room is not kept waiting longer for a pass, however long one takes. */
   private static final Duration LONGEST_REST = Duration.ofMillis(1500);
 
   private static final int SHORT_REST = 8;
 
+  /** A pass plans for what can be written in so many seconds, */
+  private static final double PLANNED_AHEAD_S = 2;
+
+  /** and for so many jobs at least. */
+  private static final int LEAST_JOBS = 64;
+
   private static final Duration START_GAP = Duration.ofMillis(250);
 
   private static final Snapshot NOTHING =
@@ -63,6 +68,7 @@
   private final Consumer<Runnable> measured;
   private final Coverage coverage;
   private final RecordLimit limit;
+  private final Planner.Bounds bounds;
   private final JobBook book;
   private final RoundWriter writer;
   private final ForeignProofs foreign;
@@ -100,6 +106,11 @@
     this.measured = measured;
     this.coverage = coverage;
     this.limit = new RecordLimit(settings.store().valueBytes());
+    this.bounds =
+        new Planner.Bounds(
+            limit,
+            settings.store().txnOps() * 2,
+            Math.max(LEAST_JOBS, (int) (settings.store().writeRps() * PLANNED_AHEAD_S)));
     this.book = new JobBook(loop, world, slots, settings, views, types, clock, coverage);
     this.writer =
         new RoundWriter(loop, store, world, slots, settings, views, book, limit, this::wake);
@@ -156,13 +167,13 @@
     }
     if (slots.plans() != planned) {
       planned = !planned;
-      book.markAll();
+      book.startAnew(planned);
       coverage.startAnew(planned ? world.revision() : -1, lastPass);
     }
     book.refresh();
     if (planned) {
       snapshot = book.snapshot(booting.get());
-      plan = Planner.plan(snapshot, limit, settings.store().txnOps() * 2);
+      plan = Planner.plan(snapshot, book.rooms(), bounds);
       Duration again = writer.write(plan);
       if (again != null) {
         Duration gap = gap(REST);
--- /dev/null
+++ b/src/main/java/io/tansystack/jobs/RecalledMachines.java
@@ -0,0 +1,41 @@
+package io.tansystack.jobs;
+
+import io.tansystack.cluster.PlacementIndex.Placed;
+import io.tansystack.cluster.World;
+import io.tansystack.workers.View;
+import java.util.HashSet;
+import java.util.Set;
+
+/** The machines that the cloud is about to take away, as their workers report. */
+final class RecalledMachines {
+  private final World world;
+  private final Set<String> machines = new HashSet<>();
+
+  RecalledMachines(World world) {
+    this.world = world;
+  }
+
+  void observe(View view) {
+    if (view.report().noticeS() != null) {
+      machines.add(view.report().machine());
+    } else {
+      machines.remove(view.report().machine());
+    }
+  }
+
+  /** The machine is gone. */
+  void forget(String machine) {
+    machines.remove(machine);
+  }
+
+  /** Jobs with something recorded on such a machine. */
+  Set<String> jobs() {
+    Set<String> jobs = new HashSet<>();
+    for (String machine : machines) {
+      for (Placed placed : world.placedOn(machine)) {
+        jobs.add(placed.id());
+      }
+    }
+    return jobs;
+  }
+}
--- a/src/main/java/io/tansystack/jobs/RoundWriter.java
+++ b/src/main/java/io/tansystack/jobs/RoundWriter.java
@@ -40,6 +40,9 @@
   /** What is to be tried again soon is tried after this. */
   static final Duration SOON = Duration.ofMillis(40);
 
+  /** What waits for the write limit is looked at again after this, without another pass. */
+  private static final Duration WRITE_AGAIN = Duration.ofMillis(100);
+
   /** Progress of arrays that places nothing and ends nothing may use so much of the write limit. */
   private static final double PROGRESS_SHARE = 0.08;
 
@@ -78,6 +81,8 @@
   private final Set<String> teamsInFlight = new HashSet<>();
   private final Duration arrayGap;
   private Plan plan;
+  private Duration progressGap = Duration.ZERO;
+  private boolean timed;
 
   /** What the plan has left to write, most urgent first. */
   private List<Draft> left = List.of();
@@ -125,20 +130,20 @@
     }
     lastWrite.keySet().retainAll(book.effective().keySet());
     alone.retainAll(book.effective().keySet());
+    progressGap = progressGap();
     left = new Drafts(world, slots, views, book, limit, plan).all();
     return writeLeft();
   }
 
   private Duration writeLeft() {
     Duration again = null;
-    Duration progressGap = progressGap();
     List<Draft> ready = new ArrayList<>();
     List<Draft> later = new ArrayList<>();
     for (Draft draft : left) {
       if (world.job(draft.job().id()) != draft.job() || book.isPending(draft.job().id())) {
         continue; // It has changed since: the next plan knows how.
       }
-      Duration due = dueIn(draft, progressGap);
+      Duration due = dueIn(draft);
       if (draft.needed().size() >= maxConditions) {
         log.error("job={} needs {} conditions, too many", draft.job().id(), draft.needed().size());
       } else if (due.isNegative()) {
@@ -155,6 +160,7 @@
       }
       if (store.spare() < worthwhile(ready)) {
         again = SOON;
+        writeAgain();
         break;
       }
       Round round = new Round();
@@ -166,8 +172,24 @@
     return again;
   }
 
+  /**
+   * The limit leaves room for a few writes every tenth of a second. A pass may take longer than that, or
+   * come much later, and what was not written in the meantime could not be made up for.
+   */
+  private void writeAgain() {
+    if (!timed) {
+      timed = true;
+      loop.after(
+          WRITE_AGAIN,
+          () -> {
+            timed = false;
+            writeLeft();
+          });
+    }
+  }
+
   /** After how long the draft may be written; negative for now. */
-  private Duration dueIn(Draft draft, Duration progressGap) {
+  private Duration dueIn(Draft draft) {
     Duration last = lastWrite.get(draft.job().id());
     if (draft.spec().shape() != Shape.ARRAY || draft.ends() || last == null) {
       return Duration.ofNanos(-1);
--- a/src/main/java/io/tansystack/schedule/AcceleratorKeep.java
+++ b/src/main/java/io/tansystack/schedule/AcceleratorKeep.java
@@ -3,9 +3,8 @@
 import io.tansystack.schedule.Snapshot.JobState;
 import io.tansystack.schedule.Snapshot.MachineState;
 import io.tansystack.wire.JobSpec;
+import it.unimi.dsi.fastutil.objects.Reference2IntOpenHashMap;
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,16 +14,42 @@
  * would fill them, and gangs would wait for their only machines.
  */
 final class AcceleratorKeep {
-  private static final class Waiting {
+  /** What waits for accelerators, and how many such tasks all machines together could take now. */
+  private final class Waiting {
     final JobSpec shape;
-    int tasks;
+    final Reference2IntOpenHashMap<Room> placesIn = new Reference2IntOpenHashMap<>();
+    int places;
+
+    /** So many of the pass's changes are taken in; -1 before the first question. */
+    int seen = -1;
 
     Waiting(JobSpec shape) {
       this.shape = shape;
     }
+
+    /** Counted once in a pass, and then only where rooms have changed. */
+    int places() {
+      List<Room> changes = rooms.changes();
+      if (seen < 0) {
+        (Ask.of(shape).needsCpus() ? rooms.free() : rooms.all()).forEach(this::count);
+      } else {
+        for (; seen < changes.size(); seen++) {
+          count(changes.get(seen));
+        }
+      }
+      seen = changes.size();
+      return places;
+    }
+
+    private void count(Room room) {
+      if (room.machine.type().gpus() > 0 && room.machine.open() && allows(shape, room)) {
+        int now = room.fits(shape);
+        places += now - placesIn.put(room, now);
+      }
+    }
   }
 
-  private final Collection<Room> rooms;
+  private final ClusterRooms rooms;
 
   /** One job for each distinct thing that is asked of accelerators. */
   private final Map<Ask, JobSpec> shapes = new LinkedHashMap<>();
@@ -37,9 +62,7 @@
   /** Machines that are booting, without accelerators: worth waiting for. */
   private final List<Room> coming = new ArrayList<>();
 
-  private final Map<Ask, Integer> places = new HashMap<>();
-
-  AcceleratorKeep(Collection<Room> rooms, List<MachineState> booting) {
+  AcceleratorKeep(ClusterRooms rooms, List<MachineState> booting) {
     this.rooms = rooms;
     for (MachineState machine : booting) {
       if (machine.type().gpus() <= 0) {
@@ -56,7 +79,7 @@
     Ask ask = Ask.of(spec);
     shapes.putIfAbsent(ask, spec);
     if (job.record().placements().isEmpty() && !job.suspected()) {
-      waiting.computeIfAbsent(ask, k -> new Waiting(spec)).tasks += spec.tasks();
+      waiting.computeIfAbsent(ask, k -> new Waiting(spec));
       waitingTasks += spec.tasks();
     }
   }
@@ -90,38 +113,22 @@
     return larger;
   }
 
-  /** Another job is looked at: what fits where may have changed. */
-  void nextJob() {
-    places.clear();
-  }
-
   /**
    * Whether a waiting job needs the accelerators that a task would spoil, and no other machine is
    * left for it. Without this the first machines to boot, often those with accelerators, fill up with
    * replicas that stay for long while the jobs they were rented for go on waiting.
    */
   boolean keptForOthers(Room room) {
-    for (Map.Entry<Ask, Waiting> entry : waiting.entrySet()) {
-      JobSpec shape = entry.getValue().shape;
-      if (room.fits(shape) > 0
-          && allows(shape, room)
-          && places.computeIfAbsent(entry.getKey(), k -> places(shape)) <= waitingTasks) {
+    for (Waiting others : waiting.values()) {
+      if (room.fits(others.shape) > 0
+          && allows(others.shape, room)
+          && others.places() <= waitingTasks) {
         return true;
       }
     }
     return false;
   }
 
-  private int places(JobSpec shape) {
-    int count = 0;
-    for (Room room : rooms) {
-      if (room.machine.open() && allows(shape, room)) {
-        count += room.fits(shape);
-      }
-    }
-    return count;
-  }
-
   private static boolean allows(JobSpec shape, Room room) {
     MachineState m = room.machine;
     return shape.allows(m.type().name(), m.zone(), m.spot());
--- a/src/main/java/io/tansystack/schedule/Ask.java
+++ b/src/main/java/io/tansystack/schedule/Ask.java
@@ -2,6 +2,7 @@
 
 import io.tansystack.wire.JobSpec;
 import java.util.List;
+import java.util.Objects;
 
 /**
  * What a task asks of a machine. Jobs that ask the same are judged once in a pass, and what found no
@@ -15,6 +16,37 @@
         spec.cpus(), spec.gpus(), spec.memGb(), spec.types(), spec.zone(), spec.spotOk());
   }
 
+  // Written out: asks are keys that are looked up for every job, and generated ones cost several
+  // times as much on the first compiler tier.
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Ask ask
+        && cpus == ask.cpus
+        && gpus == ask.gpus
+        && memGb == ask.memGb
+        && spotOk == ask.spotOk
+        && Objects.equals(types, ask.types)
+        && Objects.equals(zone, ask.zone);
+  }
+
+  @Override
+  public int hashCode() {
+    return (Double.hashCode(cpus) * 31 + Double.hashCode(memGb)) * 31 + Double.hashCode(gpus);
+  }
+
+  /** Whether a machine of this kind is allowed. */
+  boolean allows(String type, String inZone, boolean spot) {
+    return (types == null || types.contains(type))
+        && (zone == null || zone.equals(inZone))
+        && (spotOk || !spot);
+  }
+
+  /** Whether it fits only where CPUs are free. */
+  boolean needsCpus() {
+    return cpus > 2 * Room.EPS;
+  }
+
   /** Whether every machine that would do for this would do for the other too. */
   boolean asksNoLessThan(Ask other) {
     return cpus >= other.cpus
--- a/src/main/java/io/tansystack/schedule/Candidates.java
+++ b/src/main/java/io/tansystack/schedule/Candidates.java
@@ -4,9 +4,14 @@
 import io.tansystack.schedule.Snapshot.MachineState;
 import io.tansystack.wire.JobSpec;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.TreeMap;
+import java.util.function.Predicate;
 
 /** The machines that come into question for a job, in the order of predicted delivery, within one pass. */
 final class Candidates {
@@ -16,21 +21,10 @@
    */
   private static final double NEAR = 0.1;
 
-  /** {@code step} stands for predictions that count as equal. */
-  private record Scored(
-      Room room, int tier, double step, int rank, double price, double slack, double delivery)
-      implements Comparable<Scored> {
-    @Override
-    public int compareTo(Scored o) {
-      int order = Integer.compare(tier, o.tier);
-      order = order != 0 ? order : Double.compare(step, o.step);
-      order = order != 0 ? order : Integer.compare(rank, o.rank);
-      order = order != 0 ? order : Double.compare(price, o.price);
-      order = order != 0 ? order : Double.compare(slack, o.slack);
-      order = order != 0 ? order : Double.compare(delivery, o.delivery);
-      return order != 0 ? order : room.machine.name().compareTo(o.room.machine.name());
-    }
-  }
+  /** Whether a task takes the place of one that needs the machine's accelerators. */
+  private static final int USABLE = 0;
+
+  private static final int SPOILED = 1;
 
   /** Whole machines that the tasks fill, machines that are begun, and other whole ones. */
   private static final int FILLED = 0;
@@ -41,89 +35,218 @@
   /** One machine in so many is left whole for larger tasks, while others will do. */
   private static final int LEFT_WHOLE = 50;
 
-  private final Collection<Room> rooms;
-  private final AcceleratorKeep keep;
+  /** All that decides between rooms for a job whose run time does not count. */
+  private record Question(Ask ask, String image, double imageGb) {}
 
-  /** What found no machine at all in this pass: room only shrinks while it goes on. */
-  private final List<Ask> fullFor = new ArrayList<>();
+  private final ClusterRooms rooms;
+  private final RoomIndex index;
+  private final AcceleratorKeep keep;
+  private final Map<Question, Ranking> rankings = new HashMap<>();
 
-  Candidates(Collection<Room> rooms, AcceleratorKeep keep) {
+  Candidates(ClusterRooms rooms, RoomIndex index, AcceleratorKeep keep) {
     this.rooms = rooms;
+    this.index = index;
     this.keep = keep;
   }
 
-  /** Whether the job may stand on the machine at all, be there room or not. */
-  static boolean allowed(JobState job, Room room) {
-    MachineState m = room.machine;
-    return m.open()
-        && job.record().spec().allows(m.type().name(), m.zone(), m.spot())
-        && !job.avoid().contains(m.name());
-  }
-
   /**
    * Fitting machines, best first. Machines with accelerators come after the others for tasks that
    * need none, unless what they take leaves the accelerators usable: otherwise the cheap tasks would
    * keep gangs from their only machines. Equal predictions are decided towards fuller machines; nearly
    * equal ones by what they leave whole, where larger tasks need whole machines.
    */
-  List<Room> of(JobState job) {
-    return of(job, 0, 0);
+  List<Room> all(JobState job) {
+    List<Scored> scored = scored(job, 0);
+    scored.sort(null);
+    return rooms(scored);
   }
 
   /**
-   * The same for so many tasks of which a record can hold so many placements only: where the first
-   * machines would not take all, the roomiest among equals come first.
+   * The best machines for so many tasks: as many as a round can name, and one more.
+   *
+   * @param most a record can hold so many placements only: where the first machines would not take all
+   *     tasks, the roomiest among equals come first
+   * @param named a round can name so many machines
    */
-  List<Room> of(JobState job, int tasks, int most) {
+  List<Room> best(JobState job, int tasks, int most, int named) {
+    if (tasks <= most && keep.larger(job.record().spec()).isEmpty()) {
+      return rooms(leastOfAll(job, named + 1));
+    }
+    List<Scored> scored = scored(job, tasks);
+    Comparator<Scored> order = Comparator.naturalOrder();
+    if (tasks > most && scored.size() > most && placesIn(job, least(scored, most, order)) < tasks) {
+      order = Scored.roomiestFirst(Ask.of(job.record().spec()));
+    }
+    return rooms(least(scored, named + 1, order));
+  }
+
+  /** The least ones of all, without keeping what is worse: most rooms are. */
+  private List<Scored> leastOfAll(JobState job, int most) {
     JobSpec spec = job.record().spec();
-    Ask ask = Ask.of(spec);
-    for (Ask full : fullFor) {
-      if (ask.asksNoLessThan(full)) {
-        return List.of();
+    PriorityQueue<Scored> least = new PriorityQueue<>(most, Comparator.reverseOrder());
+    for (Room room : index.fitting(Ask.of(spec))) {
+      Scored worst = least.size() < most ? null : least.peek();
+      if (worst != null && worst.tier() == USABLE && room.delivery(spec) > worst.step()) {
+        continue;
+      }
+      Scored judged = judge(spec, room);
+      boolean better = worst == null || judged.compareTo(worst) < 0;
+      if (better && mayTake(job, judged)) {
+        if (worst != null) {
+          least.poll();
+        }
+        least.add(judged);
+      }
+    }
+    List<Scored> result = new ArrayList<>(least);
+    result.sort(null);
+    return result;
+  }
+
+  /** Whether nothing but room speaks against it: neither an earlier failure nor what is kept for others. */
+  private boolean mayTake(JobState job, Scored judged) {
+    return !job.avoid().contains(judged.room().machine.name())
+        && (judged.tier() == USABLE || !keep.keptForOthers(judged.room()));
+  }
+
+  /** The best machines of each zone, as many as there are tasks; the zone with the best one first. */
+  Map<String, List<Room>> bestByZone(JobState job, int tasks) {
+    JobSpec spec = job.record().spec();
+    if (spec.estimateS() <= 0 && keep.larger(spec).isEmpty()) {
+      Map<String, List<Room>> ranked = ranked(job, tasks);
+      if (ranked != null) {
+        return ranked;
+      }
+    }
+    Comparator<Scored> order = Comparator.naturalOrder();
+    List<List<Scored>> zones = new ArrayList<>(byZone(scored(job, tasks), tasks, order).values());
+    zones.sort((one, other) -> order.compare(one.get(0), other.get(0)));
+    Map<String, List<Room>> result = new LinkedHashMap<>();
+    for (List<Scored> zone : zones) {
+      result.put(zone.get(0).room().machine.zone(), rooms(zone));
+    }
+    return result;
+  }
+
+  /** The same from a ranking that serves all jobs that are alike; null if it ranks too few rooms. */
+  private Map<String, List<Room>> ranked(JobState job, int tasks) {
+    JobSpec spec = job.record().spec();
+    Question question = new Question(Ask.of(spec), spec.image(), spec.imageGb());
+    Predicate<Scored> test = judged -> mayTake(job, judged);
+    Ranking known = rankings.get(question);
+    Map<String, List<Room>> best = known == null ? null : known.best(tasks, test);
+    if (best == null) {
+      Ranking made = ranking(spec, question.ask);
+      rankings.put(question, made);
+      best = made.best(tasks, test);
+    }
+    return best;
+  }
+
+  private Ranking ranking(JobSpec spec, Ask ask) {
+    Predicate<Room> allowed = index.allowed(ask);
+    return new Ranking(
+        index.fitting(ask),
+        rooms.changes(),
+        room -> allowed.test(room) && room.fitsOne(ask) ? judge(spec, room) : null);
+  }
+
+  private Scored judge(JobSpec spec, Room room) {
+    double delivery = room.delivery(spec);
+    int tier = keep.spoils(spec, room) ? SPOILED : USABLE;
+    return new Scored(room, tier, delivery, 0, 0, room.cpus - spec.cpus(), delivery);
+  }
+
+  /**
+   * Groups of machines that a gang of so many tasks may choose from: those of each zone where one has to
+   * take all, otherwise one of all zones. Best first.
+   */
+  List<List<Room>> forGang(JobState job, int tasks) {
+    return groups(job, tasks, Comparator.naturalOrder());
+  }
+
+  /** The same, with those first that take the most tasks. */
+  List<List<Room>> roomiestForGang(JobState job, int machines) {
+    Ask ask = Ask.of(job.record().spec());
+    Comparator<Scored> roomiest = Comparator.comparingInt(s -> -s.room().fits(ask));
+    return groups(job, machines, roomiest.thenComparing(Comparator.naturalOrder()));
+  }
+
+  private List<List<Room>> groups(JobState job, int mostInZone, Comparator<Scored> order) {
+    Map<String, List<Scored>> zones = byZone(scored(job, 0), mostInZone, order);
+    if (job.record().spec().sameZone()) {
+      return zones.values().stream().map(Candidates::rooms).toList();
+    }
+    List<Scored> all = new ArrayList<>();
+    zones.values().forEach(all::addAll);
+    all.sort(order);
+    return all.isEmpty() ? List.of() : List.of(rooms(all));
+  }
+
+  /** The best of each zone, in the order of the zones' names. */
+  private static Map<String, List<Scored>> byZone(
+      List<Scored> scored, int most, Comparator<Scored> order) {
+    Map<String, List<Scored>> zones = new TreeMap<>();
+    for (Scored s : scored) {
+      zones.computeIfAbsent(s.room().machine.zone(), k -> new ArrayList<>()).add(s);
+    }
+    zones.replaceAll((zone, list) -> least(list, most, order));
+    return zones;
+  }
+
+  private static List<Room> rooms(List<Scored> scored) {
+    List<Room> rooms = new ArrayList<>(scored.size());
+    scored.forEach(s -> rooms.add(s.room()));
+    return rooms;
+  }
+
+  /** The least ones, in order, without sorting all. */
+  static List<Scored> least(List<Scored> scored, int most, Comparator<Scored> order) {
+    if (scored.size() <= most) {
+      List<Scored> all = new ArrayList<>(scored);
+      all.sort(order);
+      return all;
+    }
+    if (most <= 0) {
+      return List.of();
+    }
+    PriorityQueue<Scored> least = new PriorityQueue<>(most, order.reversed());
+    for (Scored s : scored) {
+      if (least.size() < most) {
+        least.add(s);
+      } else if (order.compare(s, least.peek()) < 0) {
+        least.poll();
+        least.add(s);
       }
     }
-    keep.nextJob();
+    List<Scored> result = new ArrayList<>(least);
+    result.sort(order);
+    return result;
+  }
+
+  private List<Scored> scored(JobState job, int tasks) {
+    JobSpec spec = job.record().spec();
     List<JobSpec> larger = keep.larger(spec);
     List<Scored> scored = new ArrayList<>();
-    boolean full = job.avoid().isEmpty();
-    for (Room room : rooms) {
-      if (room.fitsOne(spec) && allowed(job, room)) {
-        full = false; // Room that is kept for others may be theirs who ask for more.
-        boolean spoils = keep.spoils(spec, room);
-        if (!spoils || !keep.keptForOthers(room)) {
-          double delivery = room.delivery(spec);
-          scored.add(
-              new Scored(
-                  room, spoils ? 1 : 0, delivery, 0, 0, room.cpus - spec.cpus(), delivery));
-        }
+    for (Room room : index.fitting(Ask.of(spec))) {
+      Scored judged = judge(spec, room);
+      if (mayTake(job, judged)) {
+        scored.add(judged);
       }
     }
-    if (full) {
-      fullFor.add(ask);
-    }
     if (!larger.isEmpty()) {
       keepWhole(scored, spec, larger, tasks, rooms.size());
     }
-    scored.sort(null);
-    if (scored.size() > most && roomFor(spec, scored.subList(0, most)) < tasks) {
-      scored.sort(
-          Comparator.comparingInt(Scored::tier)
-              .thenComparingDouble(Scored::step)
-              .thenComparingInt(Scored::rank)
-              .thenComparing(s -> -s.room.fits(spec))
-              .thenComparing(Comparator.naturalOrder()));
-    }
-    List<Room> result = new ArrayList<>(scored.size());
-    scored.forEach(s -> result.add(s.room()));
-    return result;
+    return scored;
   }
 
-  private static int roomFor(JobSpec spec, List<Scored> scored) {
-    int fits = 0;
+  private static int placesIn(JobState job, List<Scored> scored) {
+    Ask ask = Ask.of(job.record().spec());
+    int places = 0;
     for (Scored s : scored) {
-      fits += s.room.fits(spec);
+      places += s.room().fits(ask);
     }
-    return fits;
+    return places;
   }
 
   /**
@@ -139,28 +262,29 @@
     scored.replaceAll(
         s ->
             new Scored(
-                s.room,
-                s.tier,
-                Math.floor((s.delivery - best) / near),
-                breaks(spec, s.room, larger) ? WHOLE : BEGUN,
-                price(s.room.machine),
-                s.room.gpus - spec.gpus(),
-                s.delivery));
+                s.room(),
+                s.tier(),
+                Math.floor((s.delivery() - best) / near),
+                breaks(spec, s.room(), larger) ? WHOLE : BEGUN,
+                price(s.room().machine),
+                s.room().gpus - spec.gpus(),
+                s.delivery()));
     scored.sort(null);
     int spare = 0;
     for (Scored s : scored) {
-      spare += s.rank == WHOLE ? 1 : 0;
+      spare += s.rank() == WHOLE ? 1 : 0;
     }
     spare -= 1 + machines / LEFT_WHOLE;
     int left = tasks;
     for (int i = 0; i < scored.size(); i++) {
       Scored s = scored.get(i);
-      int fits = s.rank == WHOLE && spare > 0 ? s.room.fits(spec) : 0;
+      int fits = s.rank() == WHOLE && spare > 0 ? s.room().fits(spec) : 0;
       if (fits > 0 && left >= fits) {
         left -= fits;
         spare--;
         scored.set(
-            i, new Scored(s.room, s.tier, s.step, FILLED, s.price, s.slack, s.delivery));
+            i,
+            new Scored(s.room(), s.tier(), s.step(), FILLED, s.price(), s.slack(), s.delivery()));
       }
     }
   }
--- a/src/main/java/io/tansystack/schedule/Planner.java
+++ b/src/main/java/io/tansystack/schedule/Planner.java
@@ -1,14 +1,11 @@
 package io.tansystack.schedule;
 
-import io.tansystack.records.JobRecord.Assignment;
 import io.tansystack.records.JobRecord;
-import io.tansystack.records.Placement;
+import io.tansystack.records.JobRecord.Assignment;
 import io.tansystack.records.RecordLimit;
 import io.tansystack.records.TaskSet;
 import io.tansystack.schedule.Plan.Unmet;
-import io.tansystack.schedule.Room.Held;
 import io.tansystack.schedule.Snapshot.JobState;
-import io.tansystack.schedule.Snapshot.MachineState;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.Priority;
 import io.tansystack.wire.Shape;
@@ -16,81 +13,92 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.TreeSet;
 
 /**
  * The paper's broker for a whole cluster: for each job in turn, the fitting machines are compared by
  * predicted time to delivery (image fetch, with queued fetches counted, plus run time scaled by how
- * fast the machine is), and its tasks go to the best. A pure function of the snapshot.
+ * fast the machine is), and its tasks go to the best. The plan depends on nothing but the snapshot
+ * and the rooms, which say what is recorded.
  */
 public final class Planner {
-  /** Bounds the size of a job's record. */
-  private final RecordLimit limit;
-
-  /** Each machine chosen is a condition of the transaction that records the round. */
-  private final int maxMachines;
+  /**
+   * What bounds a pass.
+   *
+   * @param record bounds the size of a job's record
+   * @param machines each machine chosen is a condition of the transaction that records the round
+   * @param jobs so many jobs of production are planned for, and so many others; what could be written only
+   *     much later is planned anew by then, and of jobs behind these it is only told what room they lack
+   */
+  public record Bounds(RecordLimit record, int machines, int jobs) {}
 
   private final Snapshot snapshot;
-  private final Map<String, Room> rooms = new LinkedHashMap<>();
+  private final Bounds bounds;
+  private final ClusterRooms rooms;
   private final TeamUse teams;
   private final AcceleratorKeep keep;
   private final Candidates candidates;
-  private final Plan plan = new Plan(new LinkedHashMap<>(), new LinkedHashMap<>(), new ArrayList<>());
-  private final Preemption preemption;
+  private final TaskPlacer placer;
+  private final RoomMaker roomMaker;
   private final Turns turns;
+  private int plannedOfProduction;
+  private int plannedOthers;
+  private final Plan plan =
+      new Plan(new LinkedHashMap<>(), new LinkedHashMap<>(), new ArrayList<>());
 
-  /** Replicas that are being stopped; they come back elsewhere. */
-  private int replicasMoving;
-
-  private final NotMade notMade = new NotMade();
-
-  private Planner(Snapshot snapshot, RecordLimit limit, int maxMachines) {
+  private Planner(Snapshot snapshot, ClusterRooms rooms, Bounds bounds) {
     this.snapshot = snapshot;
-    this.limit = limit;
-    this.maxMachines = maxMachines;
-    for (MachineState machine : snapshot.machines()) {
-      rooms.put(machine.name(), new Room(machine));
-    }
-    this.teams = new TeamUse(snapshot.teams());
-    this.keep = new AcceleratorKeep(rooms.values(), snapshot.booting());
-    this.candidates = new Candidates(rooms.values(), keep);
-    this.preemption = new Preemption(teams, plan);
-    this.turns = new Turns(snapshot.machines());
+    this.bounds = bounds;
+    this.rooms = rooms;
+    rooms.beginPass();
+    this.teams = new TeamUse(snapshot.teams(), rooms.teams());
+    this.keep = new AcceleratorKeep(rooms, snapshot.booting());
+    RoomIndex index = new RoomIndex(rooms);
+    this.candidates = new Candidates(rooms, index, keep);
+    this.placer = new TaskPlacer(rooms, index, keep, candidates, bounds.record, bounds.machines);
+    Preemption preemption = new Preemption(teams, plan, rooms.leaving());
+    this.roomMaker = new RoomMaker(rooms, index, keep, teams, preemption);
+    this.turns = new Turns(rooms.cpus());
   }
 
-  public static Plan plan(Snapshot snapshot, RecordLimit limit, int maxMachines) {
-    return new Planner(snapshot, limit, maxMachines).run();
+  /** Plans for the snapshot's jobs over rooms that were made anew. */
+  public static Plan plan(Snapshot snapshot, Bounds bounds) {
+    return plan(snapshot, ClusterRooms.of(snapshot.machines(), snapshot.jobs()), bounds);
+  }
+
+  /** Plans over rooms that hold the records of all the snapshot's jobs. */
+  public static Plan plan(Snapshot snapshot, ClusterRooms rooms, Bounds bounds) {
+    return new Planner(snapshot, rooms, bounds).run();
   }
 
   private Plan run() {
-    List<JobState> order = new ArrayList<>();
+    List<JobState> active = new ArrayList<>();
     for (JobState job : snapshot.jobs()) {
-      count(job);
+      if (placer.canBeNamed(job)) {
+        keep.count(job);
+      }
       if (job.record().active()) {
-        order.add(job);
+        active.add(job);
       }
     }
-    order.sort(
+    active.sort(
         Comparator.comparingLong((JobState j) -> j.record().submittedMs())
             .thenComparing(JobState::id));
-    teams.markGuaranteed(order);
-    order = byPriority(order);
-    ReplicaMoves moves = new ReplicaMoves(rooms, keep, plan, candidates::of);
+    teams.markGuaranteed(active);
+    List<JobState> open = active.stream().filter(JobState::open).toList();
+    ReplicaMoves moves = new ReplicaMoves(rooms, keep, plan, candidates::all);
     boolean moved = !snapshot.movable();
-    for (JobState job : order) {
+    for (JobState job : byPriority(open)) {
       if (!moved && job.record().spec().priority() == Priority.LOW) {
-        moves.run(order, replicasMoving);
+        moves.run(active, rooms.replicasLeaving());
         moved = true;
       }
       place(job);
     }
     if (!moved) {
-      moves.run(order, replicasMoving);
+      moves.run(active, rooms.replicasLeaving());
     }
     return plan;
   }
@@ -110,47 +118,13 @@
     return order;
   }
 
-  /** Takes the room of what exists, and counts it against the team's limit. */
-  private void count(JobState job) {
-    JobSpec spec = job.record().spec();
-    keep.count(job);
-    int all = 0;
-    boolean active = job.record().active();
-    for (Placement p : job.record().placements()) {
-      int n = p.tasks().size();
-      all += n;
-      Room room = rooms.get(p.machine());
-      if (room == null) {
-        continue;
-      }
-      room.take(spec, n);
-      if (p.stop() || !active) {
-        room.leaveSoon(spec, n);
-        if (active && spec.shape() == Shape.SERVICE) {
-          replicasMoving += n;
-        }
-      } else {
-        room.hold(new Held(job, p));
-      }
-    }
-    teams.add(spec, all);
-  }
-
   private void place(JobState job) {
     JobRecord record = job.record();
     JobSpec spec = record.spec();
     if (!job.waiting() || (spec.shape() == Shape.GANG && !record.placements().isEmpty())) {
       return; // A gang's next attempt starts only when all of the last is proven over.
     }
-    if (record.placedCount() + record.done().size() >= spec.tasks()) {
-      return;
-    }
-    BitSet unplaced = record.unplaced().toBits();
-    if (spec.shape() == Shape.ARRAY) {
-      int end = record.done().firstMissing() + limit.window();
-      unplaced.clear(end, Math.max(end, unplaced.length()));
-    }
-    int wanted = unplaced.cardinality();
+    int wanted = unplacedCount(record);
     int allowed = teams.allowance(spec);
     if (wanted == 0 || allowed == 0 || (spec.shape() == Shape.GANG && allowed < wanted)) {
       return; // It waits for its team, not for a machine.
@@ -159,222 +133,114 @@
       allowed = record.placements().isEmpty() ? 1 : 0;
     }
     int most = Math.min(allowed, wanted);
-    int[] tasks = unplaced.stream().limit(turns.passedOver(job) ? 1 : most).toArray();
-    Map<String, BitSet> chosen =
-        spec.shape() == Shape.GANG ? placeGang(job, tasks) : placeEach(job, tasks);
-    int placed = 0;
-    List<Assignment> round = new ArrayList<>();
-    for (Map.Entry<String, BitSet> part : chosen.entrySet()) {
-      placed += part.getValue().cardinality();
-      Room room = rooms.get(part.getKey());
-      round.add(new Assignment(part.getKey(), room.machine.session(), TaskSet.of(part.getValue())));
-    }
-    teams.add(spec, placed);
-    if (placed > 0) {
-      plan.placements().put(job.id(), round);
-    }
-    // What a round could not name follows with the next one; no room is lacking for it.
-    boolean cut = spec.shape() != Shape.GANG && chosen.size() >= machinesAtOnce(job);
-    if (!job.suspected() && !cut && placed < most) {
-      Object2IntOpenHashMap<String> zones = new Object2IntOpenHashMap<>();
-      if (byZone(spec)) {
-        zones = zones(record, rooms);
-        for (Assignment part : round) {
-          zones.addTo(rooms.get(part.machine()).machine.zone(), part.tasks().size());
-        }
-      }
-      int left = tasks.length - placed;
-      int stillLeft = left > 0 ? makeRoom(job, left, zones) : 0;
-      stillLeft += most - tasks.length; // Its turn for the rest comes with the next pass.
-      if (stillLeft > 0) {
-        boolean guaranteed = teams.guaranteed(job.id());
-        Map<String, Integer> others = byZone(spec) ? Map.copyOf(zones) : Map.of();
-        plan.unmet().add(new Unmet(job.id(), spec, stillLeft, guaranteed, others));
-      }
+    if (most == 0) {
+      return; // A job that seems to be at fault is tried with one task at a time.
     }
-  }
-
-  private static void assign(Map<String, BitSet> chosen, Room room, JobSpec spec, int task) {
-    room.place(spec);
-    chosen.computeIfAbsent(room.machine.name(), k -> new BitSet()).set(task);
-  }
-
-  /** Copies of the job by zone, counting all that may exist. */
-  static Object2IntOpenHashMap<String> zones(JobRecord record, Map<String, Room> rooms) {
-    Object2IntOpenHashMap<String> zones = new Object2IntOpenHashMap<>();
-    for (Placement p : record.placements()) {
-      Room room = rooms.get(p.machine());
-      if (room != null) {
-        zones.addTo(room.machine.zone(), p.tasks().size());
-      }
+    boolean production = spec.priority() == Priority.PRODUCTION;
+    if ((production ? plannedOfProduction : plannedOthers) >= bounds.jobs) {
+      onlyTellLack(job, most);
+      return;
     }
-    return zones;
-  }
-
-  private int placementsLeft(JobState job) {
-    int held = job.record().placements().size();
-    return Math.max(0, limit.placedAtOnce(job.record().spec()) - held);
+    int writesBefore = writes();
+    planFor(job, most);
+    int writes = writes() - writesBefore;
+    plannedOfProduction += production ? writes : 0;
+    plannedOthers += production ? 0 : writes;
   }
 
-  /** A round of the job can name so many machines. */
-  private int machinesAtOnce(JobState job) {
-    return Math.min(maxMachines, placementsLeft(job));
+  /** Records that the plan changes, each a write. */
+  private int writes() {
+    return plan.placements().size() + plan.stops().size();
   }
 
-  private Map<String, BitSet> placeEach(JobState job, int[] tasks) {
+  private void planFor(JobState job, int most) {
     JobSpec spec = job.record().spec();
-    Map<String, BitSet> chosen = new LinkedHashMap<>();
-    int most = machinesAtOnce(job);
-    List<Room> found = candidates.of(job, tasks.length, placementsLeft(job));
-    if (found.isEmpty()) {
-      return chosen;
+    int tried = turns.passedOver(job) ? 1 : most;
+    Map<String, BitSet> chosen = Map.of();
+    if (placer.findsRoom(job)) {
+      chosen = placer.place(job, unplaced(job.record()).stream().limit(tried).toArray());
     }
-    Object2IntOpenHashMap<String> zones = zones(job.record(), rooms);
-    int i = 0;
-    if (!byZone(spec)) {
-      for (Room room : found) {
-        while (i < tasks.length && room.fitsOne(spec)) {
-          if (keep.waitsForComing(spec, room)) {
-            i++;
-            continue;
-          }
-          if (chosen.size() >= most && !chosen.containsKey(room.machine.name())) {
-            return chosen;
-          }
-          assign(chosen, room, spec, tasks[i++]);
-        }
-      }
-      return chosen;
-    }
-    Map<String, List<Room>> byZone = new LinkedHashMap<>();
-    for (Room room : found) {
-      byZone.computeIfAbsent(room.machine.zone(), k -> new ArrayList<>()).add(room);
+    List<Assignment> round = round(chosen);
+    int placed = round.stream().mapToInt(part -> part.tasks().size()).sum();
+    teams.add(spec, placed);
+    if (placed > 0) {
+      plan.placements().put(job.id(), round);
     }
-    Object2IntOpenHashMap<String> next = new Object2IntOpenHashMap<>();
-    for (; i < tasks.length; i++) {
-      Room best = null;
-      for (Map.Entry<String, List<Room>> zone : byZone.entrySet()) {
-        Room first = firstFitting(spec, zone.getValue(), next, zone.getKey());
-        // Zones come best first; one with fewer copies goes before a better prediction.
-        if (first != null
-            && zoneOk(spec, zones, first)
-            && (best == null
-                || zones.getInt(zone.getKey()) < zones.getInt(best.machine.zone()))) {
-          best = first;
-        }
-      }
-      if (best != null && keep.waitsForComing(spec, best)) {
-        continue;
-      }
-      if (best == null || chosen.size() >= most) {
-        break;
-      }
-      assign(chosen, best, spec, tasks[i]);
-      zones.addTo(best.machine.zone(), 1);
+    // What a round could not name follows with the next one; no room is lacking for it.
+    boolean cut = spec.shape() != Shape.GANG && chosen.size() >= placer.machinesAtOnce(job);
+    if (!job.suspected() && !cut && placed < most && placer.canBeNamed(job)) {
+      lacks(job, tried - placed, most - tried, round);
     }
-    return chosen;
   }
 
-  /** What doesn't fit any more is passed over for good: rooms only fill up. */
-  private static Room firstFitting(
-      JobSpec spec, List<Room> rooms, Object2IntOpenHashMap<String> next, String zone) {
-    int i = next.getInt(zone);
-    while (i < rooms.size() && !rooms.get(i).fitsOne(spec)) {
-      i++;
-    }
-    next.put(zone, i);
-    return i < rooms.size() ? rooms.get(i) : null;
+  /** How many tasks {@link #unplaced} names; a task is either done, or in one placement, or unplaced. */
+  private int unplacedCount(JobRecord record) {
+    boolean windowed =
+        record.spec().shape() == Shape.ARRAY && record.spec().tasks() > bounds.record.window();
+    return windowed
+        ? unplaced(record).cardinality()
+        : record.spec().tasks() - record.placedCount() - record.done().size();
   }
 
-  /** All tasks or none; in one zone if the job asks for it, at most its share in each if it scatters. */
-  private Map<String, BitSet> placeGang(JobState job, int[] tasks) {
-    JobSpec spec = job.record().spec();
-    if (tasks.length < spec.tasks()) {
-      return Map.of();
-    }
-    List<Room> found = candidates.of(job);
-    Set<String> zoneChoices = new TreeSet<>();
-    found.forEach(room -> zoneChoices.add(room.machine.zone()));
-    List<Room> best = null;
-    double bestDelivery = Double.MAX_VALUE;
-    for (String only : spec.sameZone() ? List.copyOf(zoneChoices) : List.of("")) {
-      List<Room> picks = new ArrayList<>();
-      Object2IntOpenHashMap<String> zones = new Object2IntOpenHashMap<>();
-      double slowest = 0;
-      for (Room room : found) {
-        String zone = room.machine.zone();
-        if (spec.sameZone() && !zone.equals(only)) {
-          continue;
-        }
-        int fits = room.fits(spec);
-        for (int k = 0; k < fits && picks.size() < tasks.length; k++) {
-          if (zones.getInt(zone) >= spec.zoneCap()) {
-            break;
-          }
-          picks.add(room);
-          zones.addTo(zone, 1);
-          slowest = Math.max(slowest, room.delivery(spec));
-        }
-      }
-      if (picks.size() == tasks.length && slowest < bestDelivery) {
-        best = picks;
-        bestDelivery = slowest;
-      }
-    }
-    Map<String, BitSet> chosen = new LinkedHashMap<>();
-    if (best != null && new HashSet<>(best).size() <= Math.min(maxMachines, limit.placedAtOnce(spec))) {
-      for (int i = 0; i < best.size(); i++) {
-        assign(chosen, best.get(i), spec, tasks[i]);
-      }
+  private BitSet unplaced(JobRecord record) {
+    BitSet unplaced = record.unplaced().toBits();
+    if (record.spec().shape() == Shape.ARRAY) {
+      int end = record.done().firstMissing() + bounds.record.window();
+      unplaced.clear(end, Math.max(end, unplaced.length()));
     }
-    return chosen;
+    return unplaced;
+  }
+
+  private List<Assignment> round(Map<String, BitSet> chosen) {
+    List<Assignment> round = new ArrayList<>();
+    chosen.forEach(
+        (machine, tasks) ->
+            round.add(
+                new Assignment(
+                    machine, rooms.get(machine).machine.session(), TaskSet.of(tasks))));
+    return round;
   }
 
   /**
-   * For tasks that found no room: first counts on what is being stopped already, then stops work that
-   * may be preempted for them. Returns how many tasks are left even so.
+   * Tasks found no room.
    *
-   * @param zones copies of the job by zone; those for which there will be room are added
+   * @param tried so many were looked for, and room may be made for them
+   * @param notTried so many more have their turn with the next pass
    */
-  private int makeRoom(JobState job, int left, Object2IntOpenHashMap<String> zones) {
+  private void lacks(JobState job, int tried, int notTried, List<Assignment> round) {
     JobSpec spec = job.record().spec();
-    boolean mayPreempt =
-        job.impatient() && (spec.priority() != Priority.LOW || teams.guaranteed(job.id()));
-    Ask ask = Ask.of(spec);
-    boolean owed = teams.guaranteed(job.id());
-    if (notMade.covers(ask, spec, owed)) {
-      return left;
-    }
-    List<Room> allowed = new ArrayList<>(rooms.size());
-    for (Room room : rooms.values()) {
-      // Room that the task was kept out of stays free for whom it is kept.
-      if ((mayPreempt || room.fitsSoon(spec)) && Candidates.allowed(job, room) && !keep.spoils(spec, room)) {
-        allowed.add(room);
-      }
-    }
-    for (Room room : allowed) {
-      while (left > 0 && room.fitsSoon(spec) && zoneOk(spec, zones, room)) {
-        room.take(spec, 1);
-        zones.addTo(room.machine.zone(), 1);
-        left--;
+    Object2IntOpenHashMap<String> zones = new Object2IntOpenHashMap<>();
+    if (Zones.matter(spec)) {
+      zones = Zones.of(job.record(), rooms);
+      for (Assignment part : round) {
+        zones.addTo(rooms.get(part.machine()).machine.zone(), part.tasks().size());
       }
     }
-    if (left > 0 && mayPreempt) {
-      left = preemption.stopFor(job, left, allowed, zones);
-    }
-    if (left > 0 && mayPreempt && !byZone(spec) && job.avoid().isEmpty()) {
-      notMade.add(ask, spec, owed);
+    int left = 0;
+    if (tried > 0) {
+      left = roomMaker.makeRoom(job, tried, zones, roomMaker.mayPreempt(job));
     }
-    return left;
+    unmet(job, left + notTried, zones);
   }
 
-  private static boolean byZone(JobSpec spec) {
-    return spec.shape() == Shape.SERVICE || spec.scatter() || spec.sameZone();
+  /** Takes room for a job that is not planned for, so that those behind it are not told that it is free. */
+  private void onlyTellLack(JobState job, int tasks) {
+    if (job.suspected() || !placer.canBeNamed(job)) {
+      return;
+    }
+    Object2IntOpenHashMap<String> zones = Zones.of(job.record(), rooms);
+    int left = placer.reserve(job, tasks, zones);
+    if (left > 0) {
+      left = roomMaker.makeRoom(job, left, zones, false);
+    }
+    unmet(job, left, zones);
   }
 
-  static boolean zoneOk(JobSpec spec, Object2IntOpenHashMap<String> zones, Room room) {
-    String zone = room.machine.zone();
-    return zones.getInt(zone) < spec.zoneCap()
-        && !(spec.sameZone() && !zones.isEmpty() && !zones.containsKey(zone));
+  private void unmet(JobState job, int tasks, Object2IntOpenHashMap<String> zones) {
+    if (tasks > 0) {
+      JobSpec spec = job.record().spec();
+      Map<String, Integer> others = Zones.matter(spec) ? Map.copyOf(zones) : Map.of();
+      plan.unmet().add(new Unmet(job.id(), spec, tasks, teams.guaranteed(job.id()), others));
+    }
   }
 }
--- a/src/main/java/io/tansystack/schedule/Preemption.java
+++ b/src/main/java/io/tansystack/schedule/Preemption.java
@@ -3,7 +3,6 @@
 import io.tansystack.records.Placement;
 import io.tansystack.records.TaskSet;
 import io.tansystack.schedule.Plan.Stop;
-import io.tansystack.schedule.Room.Held;
 import io.tansystack.schedule.Snapshot.JobState;
 import io.tansystack.wire.JobSpec;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
@@ -11,6 +10,7 @@
 import java.util.BitSet;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 
 /** Chooses whom to stop, so that work which may take their place finds room. */
@@ -24,10 +24,24 @@
 
   private final TeamUse teams;
   private final Plan plan;
+  private final Map<String, Room> leaving;
 
-  Preemption(TeamUse teams, Plan plan) {
+  /** Whether the last call looked at all machines that it was given. */
+  private boolean lookedAtAll;
+
+  /** @param leaving rooms in which something is about to leave, by machine; those of victims are added */
+  Preemption(TeamUse teams, Plan plan, Map<String, Room> leaving) {
     this.teams = teams;
     this.plan = plan;
+    this.leaving = leaving;
+  }
+
+  /**
+   * Whether the last call to {@link #stopFor} looked at all machines that it was given, so that what it
+   * left can't be helped by stopping anything more.
+   */
+  boolean lookedAtAll() {
+    return lookedAtAll;
   }
 
   /**
@@ -41,14 +55,16 @@
     PriorityQueue<Offer> offers =
         new PriorityQueue<>(Comparator.comparingDouble(Offer::loss).thenComparingInt(Offer::order));
     int enough = ENOUGH + 2 * left;
-    for (int i = 0; i < rooms.size() && offers.size() < enough; i++) {
+    int i = 0;
+    for (; i < rooms.size() && offers.size() < enough; i++) {
       if (owed || rooms.get(i).fitsWithoutLower(spec)) {
         offer(job, rooms.get(i), i, offers);
       }
     }
+    lookedAtAll = i == rooms.size();
     while (left > 0 && !offers.isEmpty()) {
       Offer best = offers.poll();
-      if (!Planner.zoneOk(spec, zones, best.room)) {
+      if (!Zones.allow(spec, zones, best.room)) {
         continue; // And it stays so: copies in a zone only grow in number during a pass.
       }
       for (Victim victim : best.victims) {
@@ -72,7 +88,7 @@
   private static double loss(List<Victim> victims) {
     double loss = 0;
     for (Victim v : victims) {
-      JobSpec s = v.held.job().record().spec();
+      JobSpec s = v.held.spec();
       // A stopped gang loses all its tasks, a task with checkpoints next to nothing of its work.
       double weight = s.checkpointS() > 0 ? 0.3 : 1;
       loss += v.tasks * (s.cpus() + 10 * s.gpus()) * weight * (4 - s.priority().ordinal());
@@ -88,12 +104,12 @@
     double mem = room.mem + room.soonMem;
     List<Victim> victims = new ArrayList<>();
     for (Held held : room.held()) {
-      if (!preemptible(job, held.job())) {
+      if (!preemptible(job, held)) {
         continue;
       }
-      JobSpec s = held.job().record().spec();
+      JobSpec s = held.spec();
       int n = 0;
-      while (n < held.placement().tasks().size() && Room.count(spec, cpus, gpus, mem) == 0) {
+      while (n < held.tasks() && Room.count(spec, cpus, gpus, mem) == 0) {
         cpus += s.cpus();
         gpus += s.gpus();
         mem += s.memGb();
@@ -110,9 +126,9 @@
   }
 
   /** Lower priority, or another team's work beyond its guarantee for one that is owed its own. */
-  private boolean preemptible(JobState job, JobState victim) {
+  private boolean preemptible(JobState job, Held victim) {
     JobSpec spec = job.record().spec();
-    JobSpec other = victim.record().spec();
+    JobSpec other = victim.spec();
     if (spec.gpus() <= 0 && other.gpus() > 0) {
       return false; // What needs no accelerator does not take one away.
     }
@@ -130,12 +146,13 @@
       n++;
     }
     plan.stops()
-        .computeIfAbsent(victim.held.job().id(), k -> new ArrayList<>())
+        .computeIfAbsent(victim.held.job(), k -> new ArrayList<>())
         .add(new Stop(room.machine.name(), TaskSet.of(tasks), forJob.id()));
     room.release(victim.held);
     if (!rest.isEmpty()) {
-      room.hold(new Held(victim.held.job(), p.withTasks(TaskSet.of(rest))));
+      room.hold(victim.held.withPlacement(p.withTasks(TaskSet.of(rest))));
     }
-    room.leaveSoon(victim.held.job().record().spec(), tasks.cardinality());
+    room.leaveSoon(victim.held.spec(), tasks.cardinality());
+    leaving.put(room.machine.name(), room);
   }
 }
--- a/src/main/java/io/tansystack/schedule/ReplicaMoves.java
+++ b/src/main/java/io/tansystack/schedule/ReplicaMoves.java
@@ -5,7 +5,6 @@
 import io.tansystack.records.TaskSet;
 import io.tansystack.schedule.Plan.Stop;
 import io.tansystack.schedule.Plan.Unmet;
-import io.tansystack.schedule.Room.Held;
 import io.tansystack.schedule.Snapshot.JobState;
 import io.tansystack.schedule.Snapshot.MachineState;
 import io.tansystack.wire.JobSpec;
@@ -35,7 +34,7 @@
     List<Room> of(JobState job);
   }
 
-  private final Map<String, Room> rooms;
+  private final ClusterRooms rooms;
   private final AcceleratorKeep keep;
   private final Plan plan;
   private final Candidates candidates;
@@ -44,7 +43,7 @@
   private final int maxMoving;
 
   ReplicaMoves(
-      Map<String, Room> rooms, AcceleratorKeep keep, Plan plan, Candidates candidates) {
+      ClusterRooms rooms, AcceleratorKeep keep, Plan plan, Candidates candidates) {
     this.rooms = rooms;
     this.keep = keep;
     this.plan = plan;
@@ -68,7 +67,7 @@
     }
     for (Room from : toEmpty) {
       for (Held held : List.copyOf(from.held())) {
-        JobState job = jobs.get(held.job().id());
+        JobState job = jobs.get(held.job());
         if (job != null && movable(job) && move(job, held, from) && ++moving >= maxMoving) {
           return;
         }
@@ -78,7 +77,7 @@
 
   private List<Room> toEmpty() {
     List<Room> result = new ArrayList<>();
-    for (Room room : rooms.values()) {
+    for (Room room : rooms.all()) {
       if (room.machine.drain()) {
         result.add(room);
       }
@@ -118,7 +117,7 @@
   private Room clearable(JobSpec need) {
     Room best = null;
     int fewest = Integer.MAX_VALUE;
-    for (Room room : rooms.values()) {
+    for (Room room : rooms.all()) {
       MachineState m = room.machine;
       if (!room.holdsReplicas()
           || !m.open()
@@ -131,9 +130,9 @@
       double mem = room.mem + room.soonMem;
       int replicas = 0;
       for (Held held : room.held()) {
-        JobSpec s = held.job().record().spec();
-        int n = held.placement().tasks().size();
-        if (s.shape() == Shape.SERVICE && s.gpus() <= 0) {
+        JobSpec s = held.spec();
+        int n = held.tasks();
+        if (held.isService() && s.gpus() <= 0) {
           cpus += n * s.cpus();
           mem += n * s.memGb();
           replicas += n;
@@ -149,7 +148,7 @@
 
   private boolean move(JobState job, Held held, Room from) {
     JobSpec spec = job.record().spec();
-    Object2IntOpenHashMap<String> zones = Planner.zones(job.record(), rooms);
+    Object2IntOpenHashMap<String> zones = Zones.of(job.record(), rooms);
     zones.addTo(from.machine.zone(), -1);
     for (Room to : candidates.of(job)) {
       if (to != from
--- a/src/main/java/io/tansystack/schedule/Room.java
+++ b/src/main/java/io/tansystack/schedule/Room.java
@@ -1,35 +1,33 @@
 package io.tansystack.schedule;
 
-import io.tansystack.records.Placement;
-import io.tansystack.schedule.Snapshot.JobState;
 import io.tansystack.schedule.Snapshot.MachineState;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.Priority;
-import io.tansystack.wire.Shape;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 
-/** A machine's room during a pass, and what stands on it. */
+/**
+ * A machine's room and what stands on it. It is kept from pass to pass: a pass takes room of it for
+ * what it plans, and {@link #reset} brings it back to what is recorded.
+ */
 final class Room {
-  private static final double EPS = 1e-6;
+  static final double EPS = 1e-6;
 
   /** The least wanted first: lower priority, then what came last, then what was started last. */
   private static final Comparator<Held> LEAST_WANTED =
       Comparator.comparingInt((Held h) -> -h.priority().ordinal())
-          .thenComparingLong(h -> -h.job().record().submittedMs())
+          .thenComparingLong(h -> -h.submittedMs())
           .thenComparingLong(h -> -h.placement().attempt());
 
-  /** Tasks of a job that stand on a machine and could be stopped. */
-  record Held(JobState job, Placement placement) {
-    Priority priority() {
-      return job.record().spec().priority();
-    }
-  }
+  /** Number of the machine's kind in the {@link ClusterRooms} that keep it. */
+  final int kind;
 
-  final MachineState machine;
+  private final List<Room> changes;
+  MachineState machine;
   double cpus;
   double gpus;
   double mem;
@@ -48,24 +46,75 @@
   /** What stands here by priority, as cpus, gpus, memory: tells at once where stopping can't help. */
   private final double[] heldBy = new double[3 * Priority.values().length];
 
+  /** A machine that nothing stands on, and that nobody keeps. */
   Room(MachineState machine) {
-    this.machine = machine;
-    cpus = machine.type().cpus();
-    gpus = machine.type().gpus();
-    mem = machine.type().memGb();
-    queuedGb = machine.queuedGb();
-    coming = machine.coming();
+    this(machine, 0, new ArrayList<>());
+  }
+
+  /** @param changes told of the room each time that a pass changes it */
+  Room(MachineState machine, int kind, List<Room> changes) {
+    this.kind = kind;
+    this.changes = changes;
+    reset(machine, List.of());
+  }
+
+  /** Forgets what was planned: this is the machine, and this is recorded on it. */
+  void reset(MachineState state, List<Held> recorded) {
+    machine = state;
+    cpus = state.type().cpus();
+    gpus = state.type().gpus();
+    mem = state.type().memGb();
+    queuedGb = state.queuedGb();
+    coming = state.coming();
+    soonCpus = 0;
+    soonGpus = 0;
+    soonMem = 0;
+    held.clear();
+    sorted = true;
+    replicas = 0;
+    Arrays.fill(heldBy, 0);
+    for (Held tasks : recorded) {
+      subtract(tasks.spec(), tasks.tasks());
+      if (tasks.leaves()) {
+        addSoon(tasks.spec(), tasks.tasks());
+      } else {
+        held.add(tasks);
+        addHeld(tasks, tasks.tasks());
+      }
+    }
+    sorted = held.size() < 2;
+  }
+
+  /** Whether CPUs are free, which nearly all tasks need. */
+  boolean hasFreeCpus() {
+    return cpus > EPS;
+  }
+
+  /** Whether something here is about to leave. */
+  boolean leavesSoon() {
+    return soonCpus > 0 || soonGpus > 0 || soonMem > 0;
   }
 
   int fits(JobSpec s) {
     return count(s, cpus, gpus, mem);
   }
 
+  int fits(Ask ask) {
+    return count(ask.cpus(), ask.gpus(), ask.memGb(), cpus, gpus, mem);
+  }
+
   /** The same as {@code fits(s) > 0}, asked for every machine and job. */
   boolean fitsOne(JobSpec s) {
     return s.cpus() <= cpus + EPS && s.gpus() <= gpus + EPS && s.memGb() <= mem + EPS && sound();
   }
 
+  boolean fitsOne(Ask ask) {
+    return ask.cpus() <= cpus + EPS
+        && ask.gpus() <= gpus + EPS
+        && ask.memGb() <= mem + EPS
+        && sound();
+  }
+
   boolean fitsSoon(JobSpec s) {
     return s.cpus() <= cpus + soonCpus + EPS
         && s.gpus() <= gpus + soonGpus + EPS
@@ -78,23 +127,34 @@
   }
 
   static int count(JobSpec s, double cpus, double gpus, double mem) {
+    return count(s.cpus(), s.gpus(), s.memGb(), cpus, gpus, mem);
+  }
+
+  private static int count(
+      double cpusEach, double gpusEach, double memEach, double cpus, double gpus, double mem) {
     if (cpus < -EPS || gpus < -EPS || mem < -EPS) {
       return 0;
     }
     double n = 1e6;
-    if (s.cpus() > 0) {
-      n = Math.min(n, (cpus + EPS) / s.cpus());
+    if (cpusEach > 0) {
+      n = Math.min(n, (cpus + EPS) / cpusEach);
     }
-    if (s.gpus() > 0) {
-      n = Math.min(n, (gpus + EPS) / s.gpus());
+    if (gpusEach > 0) {
+      n = Math.min(n, (gpus + EPS) / gpusEach);
     }
-    if (s.memGb() > 0) {
-      n = Math.min(n, (mem + EPS) / s.memGb());
+    if (memEach > 0) {
+      n = Math.min(n, (mem + EPS) / memEach);
     }
     return (int) n;
   }
 
+  /** Takes room for tasks that are planned here. */
   void take(JobSpec s, int n) {
+    subtract(s, n);
+    changes.add(this);
+  }
+
+  private void subtract(JobSpec s, int n) {
     cpus -= n * s.cpus();
     gpus -= n * s.gpus();
     mem -= n * s.memGb();
@@ -110,7 +170,13 @@
     }
   }
 
+  /** What was planned to be stopped is about to leave room. */
   void leaveSoon(JobSpec s, int n) {
+    addSoon(s, n);
+    changes.add(this);
+  }
+
+  private void addSoon(JobSpec s, int n) {
     soonCpus += n * s.cpus();
     soonGpus += n * s.gpus();
     soonMem += n * s.memGb();
@@ -132,17 +198,19 @@
   void hold(Held tasks) {
     held.add(tasks);
     sorted = false;
-    addHeld(tasks, tasks.placement().tasks().size());
+    addHeld(tasks, tasks.tasks());
+    changes.add(this);
   }
 
   void release(Held tasks) {
     held.remove(tasks);
-    addHeld(tasks, -tasks.placement().tasks().size());
+    addHeld(tasks, -tasks.tasks());
+    changes.add(this);
   }
 
   private void addHeld(Held tasks, int n) {
-    JobSpec spec = tasks.job().record().spec();
-    replicas += spec.shape() == Shape.SERVICE ? n : 0;
+    JobSpec spec = tasks.spec();
+    replicas += tasks.isService() ? n : 0;
     int at = 3 * spec.priority().ordinal();
     heldBy[at] += n * spec.cpus();
     heldBy[at + 1] += n * spec.gpus();
--- /dev/null
+++ b/src/main/java/io/tansystack/schedule/RoomIndex.java
@@ -0,0 +1,98 @@
+package io.tansystack.schedule;
+
+import io.tansystack.schedule.RentPlanner.Kind;
+import io.tansystack.schedule.Snapshot.JobState;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/**
+ * Finds the machines that can take a job's tasks within one pass. What asks the same is looked up
+ * once; from then on only the rooms that fitted are looked at, since room only shrinks during a pass.
+ */
+final class RoomIndex {
+  /** What is known of an ask: the kinds of machine that it allows, and rooms that fitted so far. */
+  private static final class Answer {
+    final BitSet kinds;
+    List<Room> fitting;
+
+    Answer(BitSet kinds) {
+      this.kinds = kinds;
+    }
+  }
+
+  private final ClusterRooms rooms;
+  private final Map<Ask, Answer> answers = new HashMap<>();
+
+  /** What found no machine at all in this pass. */
+  private final List<Ask> fullFor = new ArrayList<>();
+
+  RoomIndex(ClusterRooms rooms) {
+    this.rooms = rooms;
+  }
+
+  private Answer answer(Ask ask) {
+    return answers.computeIfAbsent(ask, k -> new Answer(allowedKinds(ask)));
+  }
+
+  private BitSet allowedKinds(Ask ask) {
+    BitSet allowed = new BitSet();
+    List<Kind> kinds = rooms.kinds();
+    for (int i = 0; i < kinds.size(); i++) {
+      Kind kind = kinds.get(i);
+      allowed.set(i, ask.allows(kind.type(), kind.zone(), kind.spot()));
+    }
+    return allowed;
+  }
+
+  /** Whether what asks so may stand in a room at all, be there space or not. */
+  Predicate<Room> allowed(Ask ask) {
+    BitSet kinds = answer(ask).kinds;
+    return room -> room.machine.open() && kinds.get(room.kind);
+  }
+
+  /** Whether the job may. */
+  Predicate<Room> allowed(JobState job, Ask ask) {
+    Set<String> avoid = job.avoid();
+    return allowed(ask).and(room -> !avoid.contains(room.machine.name()));
+  }
+
+  /** Rooms that may and can take one such task now, in the order of names; not to be changed. */
+  List<Room> fitting(Ask ask) {
+    Answer answer = answer(ask);
+    if (answer.fitting == null) {
+      answer.fitting = isFull(ask) ? new ArrayList<>() : search(ask);
+    } else {
+      answer.fitting.removeIf(room -> !room.fitsOne(ask));
+    }
+    if (answer.fitting.isEmpty() && !isFull(ask)) {
+      fullFor.add(ask);
+    }
+    return Collections.unmodifiableList(answer.fitting);
+  }
+
+  private List<Room> search(Ask ask) {
+    Predicate<Room> allowed = allowed(ask);
+    List<Room> found = new ArrayList<>();
+    for (Room room : ask.needsCpus() ? rooms.free() : rooms.all()) {
+      if (allowed.test(room) && room.fitsOne(ask)) {
+        found.add(room);
+      }
+    }
+    return found;
+  }
+
+  private boolean isFull(Ask ask) {
+    for (Ask full : fullFor) {
+      if (ask.asksNoLessThan(full)) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- a/src/main/java/io/tansystack/schedule/Snapshot.java
+++ b/src/main/java/io/tansystack/schedule/Snapshot.java
@@ -70,6 +70,7 @@
    * @param late how many of its deadline's aims it can't meet any more
    * @param avoid machines where it lately failed or was refused
    * @param due whether it has waited for so long without a beginning that it must not wait much longer
+   * @param open whether it has tasks that are neither placed nor done
    */
   public record JobState(
       String id,
@@ -79,7 +80,20 @@
       boolean suspected,
       int late,
       Set<String> avoid,
-      boolean due) {
+      boolean due,
+      boolean open) {
+
+    public JobState(
+        String id,
+        JobRecord record,
+        boolean waiting,
+        boolean impatient,
+        boolean suspected,
+        int late,
+        Set<String> avoid,
+        boolean due) {
+      this(id, record, waiting, impatient, suspected, late, avoid, due, isOpen(record));
+    }
 
     /** One that has not waited for long. */
     public JobState(
@@ -92,5 +106,11 @@
         Set<String> avoid) {
       this(id, record, waiting, impatient, suspected, late, avoid, false);
     }
+
+    /** Whether a record has tasks that are neither placed nor done. */
+    public static boolean isOpen(JobRecord record) {
+      return record.active()
+          && record.placedCount() + record.done().size() < record.spec().tasks();
+    }
   }
 }
--- a/src/main/java/io/tansystack/schedule/TeamUse.java
+++ b/src/main/java/io/tansystack/schedule/TeamUse.java
@@ -24,15 +24,25 @@
   }
 
   private final Map<String, Team> teams;
+  private final TeamSums recorded;
   private final Map<String, Sum> used = new HashMap<>();
   private final Set<String> guaranteed = new HashSet<>();
 
-  TeamUse(Map<String, Team> teams) {
+  /** @param recorded what the teams use at the beginning of the pass */
+  TeamUse(Map<String, Team> teams, TeamSums recorded) {
     this.teams = teams;
+    this.recorded = recorded;
   }
 
   private Sum used(String team) {
-    return used.computeIfAbsent(team, k -> new Sum());
+    return used.computeIfAbsent(
+        team,
+        k -> {
+          Sum sum = new Sum();
+          sum.cpus = recorded.cpus(team);
+          sum.gpus = recorded.gpus(team);
+          return sum;
+        });
   }
 
   void add(JobSpec spec, int n) {
@@ -81,10 +91,10 @@
   }
 
   /** Whether the job is owed its guarantee by what the other one borrows. */
-  boolean owed(JobState job, JobState other) {
+  boolean owed(JobState job, Held other) {
     JobSpec spec = job.record().spec();
-    JobSpec lent = other.record().spec();
-    if (!guaranteed(job.id()) || guaranteed(other.id()) || lent.team().equals(spec.team())) {
+    JobSpec lent = other.spec();
+    if (!guaranteed(job.id()) || guaranteed(other.job()) || lent.team().equals(spec.team())) {
       return false;
     }
     Team team = teams.get(lent.team());
--- a/src/main/java/io/tansystack/schedule/Turns.java
+++ b/src/main/java/io/tansystack/schedule/Turns.java
@@ -1,11 +1,9 @@
 package io.tansystack.schedule;
 
 import io.tansystack.schedule.Snapshot.JobState;
-import io.tansystack.schedule.Snapshot.MachineState;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.Shape;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 
@@ -30,12 +28,9 @@
 
   private final double cpus;
 
-  Turns(Collection<MachineState> machines) {
-    double sum = 0;
-    for (MachineState machine : machines) {
-      sum += machine.type().cpus();
-    }
-    this.cpus = Math.max(1, sum * PART);
+  /** @param cpus of all machines together */
+  Turns(double cpus) {
+    this.cpus = Math.max(1, cpus * PART);
   }
 
   List<JobState> order(List<JobState> byArrival) {
--- a/src/test/java/io/tansystack/schedule/PlannerTest.java
+++ b/src/test/java/io/tansystack/schedule/PlannerTest.java
@@ -73,7 +73,9 @@
   }
 
   private Plan plan() {
-    return Planner.plan(new Snapshot(machines, booting, jobs, teams), new RecordLimit(8192), 30);
+    return Planner.plan(
+        new Snapshot(machines, booting, jobs, teams),
+        new Planner.Bounds(new RecordLimit(8192), 30, 1000));
   }
 
   private static int placed(Plan plan, String job, String machine) {
@@ -374,4 +376,64 @@
     assertEquals(left, unmet.tasks());
     assertEquals(zones, unmet.zones().entrySet().stream().map(Object::toString).collect(Collectors.joining(" ")));
   }
+
+  private Plan planOnFewMachines(int machinesOfRound) {
+    return Planner.plan(
+        new Snapshot(machines, booting, jobs, teams),
+        new Planner.Bounds(new RecordLimit(8192), machinesOfRound, 1000));
+  }
+
+  /** Ten begun machines that the gang fits best on, and three whole ones that a transaction can name. */
+  @ParameterizedTest
+  @CsvSource({"12,0", "3,12", "2,0"})
+  void aGangTakesTheRoomiestWhereTheBestCanNotBeNamed(int machinesOfRound, int onWhole) {
+    for (int i = 0; i < 12; i++) {
+      machine("begun-" + i, SMALL, "a", Set.of("img"), 0, 1);
+      job(
+          spec("wk-1" + i, Shape.SERVICE, Priority.PRODUCTION, 1, 3, 0, false, false),
+          0,
+          new Assignment("begun-" + i, 1, TaskSet.EMPTY.with(0)));
+    }
+    for (int i = 0; i < 3; i++) {
+      machine("whole-" + i, SMALL, "a", Set.of("img"), 0, 1);
+    }
+    job(spec("wk-2", Shape.GANG, Priority.HIGH, 12, 1, 0, false, false), 1);
+    Plan plan = planOnFewMachines(machinesOfRound);
+    int placed = 0;
+    for (int i = 0; i < 3; i++) {
+      placed += placed(plan, "wk-2", "whole-" + i);
+    }
+    assertEquals(onWhole, placed);
+  }
+
+  /** It would hold the room for ever, and what was rented for it would stand idle. */
+  @Test
+  void aGangThatCanNeverBeNamedKeepsNoRoom() {
+    for (int i = 0; i < 4; i++) {
+      machine("n-" + i, SMALL, "a");
+    }
+    job(spec("wk-1", Shape.GANG, Priority.HIGH, 16, 1, 0, false, false), 0);
+    job(spec("wk-2", Shape.ARRAY, Priority.LOW, 8, 1, 0, false, false), 1);
+    Plan plan = planOnFewMachines(3);
+    assertEquals(0, placed(plan, "wk-1"));
+    assertEquals(8, placed(plan, "wk-2"));
+    assertEquals(List.of(), plan.unmet());
+  }
+
+  /** Of jobs behind the bound it is told what they lack, counted on what those before them leave. */
+  @ParameterizedTest
+  @CsvSource({"1,1,2", "2,2,2", "3,2,2"})
+  void behindTheBoundOnlyWhatIsLackingIsTold(int bound, int placedJobs, int lacking) {
+    machine("n-0", SMALL, "a");
+    machine("n-1", SMALL, "b");
+    for (int i = 1; i <= 3; i++) {
+      job(spec("wk-" + i, Shape.ARRAY, Priority.LOW, i == 3 ? 4 : 3, 1, 0, false, false), i);
+    }
+    Plan plan =
+        Planner.plan(
+            new Snapshot(machines, booting, jobs, teams),
+            new Planner.Bounds(new RecordLimit(8192), 30, bound));
+    assertEquals(placedJobs, Math.min(2, plan.placements().size()));
+    assertEquals(lacking, plan.unmet().stream().mapToInt(Plan.Unmet::tasks).sum());
+  }
 }
