Passes over many idle machines: what is kept for others is found out once, arrivals are sorted in

Cause: with idle machines that are kept for waiting gangs every job without room judged all of them again, what lies behind the bound of a pass went through all fitting rooms for each job, and each arrival sorted all jobs anew. Of what a pass plans for, replicas alone could fill the bound, so that one write in four stayed unused.

Change: an ask for which nothing is left is not asked again until the pass changes a room; rooms behind the bound are taken from a list that is not cleared each time; arrivals are sorted into what is sorted; the bound counts replicas and others apart. All tests passed.

--- a/src/main/java/io/tansystack/jobs/JobBook.java
+++ b/src/main/java/io/tansystack/jobs/JobBook.java
@@ -53,7 +53,11 @@
   private final Map<String, Pending> pending = new HashMap<>();
   private final FailureMemory failures = new FailureMemory();
   private final Map<String, JobRecord> effective = new HashMap<>();
-  private List<String> order = new ArrayList<>();
+  private final List<String> order = new ArrayList<>();
+
+  /** Jobs that are to be sorted in. */
+  private final Set<String> arrived = new HashSet<>();
+
   private boolean orderChanged;
   private final Map<String, Proofs> proofs = new HashMap<>();
   private final ClusterRooms rooms = new ClusterRooms();
@@ -268,7 +272,10 @@
       record = record.absorbed(found.over());
     }
     JobRecord before = effective.put(id, record);
-    orderChanged |= before == null || (before.spec() == null) != (record.spec() == null);
+    if (before == null || (before.spec() == null) != (record.spec() == null)) {
+      orderChanged = true;
+      arrived.add(id);
+    }
     keepRooms(before, record);
   }
 
@@ -341,8 +348,10 @@
   /** By arrival: the planner sorts what is sorted already, which costs little. */
   private List<String> inOrder() {
     if (orderChanged) {
-      order = new ArrayList<>(effective.keySet());
-      order.removeIf(id -> effective.get(id).spec() == null);
+      // What was sorted stays so; only what has come is sorted in.
+      order.removeIf(id -> arrived.contains(id) || !isPlannedFor(id));
+      arrived.stream().filter(this::isPlannedFor).forEach(order::add);
+      arrived.clear();
       order.sort(
           Comparator.comparingLong((String id) -> effective.get(id).submittedMs())
               .thenComparing(Comparator.naturalOrder()));
@@ -351,6 +360,12 @@
     return order;
   }
 
+  /** Whether a pass looks at the job: of one that is over only the outcome is left. */
+  private boolean isPlannedFor(String id) {
+    JobRecord record = effective.get(id);
+    return record != null && record.spec() != null;
+  }
+
   private void remember(String job, Proofs found) {
     Duration now = loop.now();
     for (JobRecord.Over over : found.over()) {
--- a/src/main/java/io/tansystack/schedule/Candidates.java
+++ b/src/main/java/io/tansystack/schedule/Candidates.java
@@ -43,6 +43,12 @@
   private final AcceleratorKeep keep;
   private final Map<Question, Ranking> rankings = new HashMap<>();
 
+  /**
+   * Asks for which no room was left, since all that fit are kept for others, with the number of changes
+   * that the pass had made by then: until it makes another one, nobody who asks the same finds any.
+   */
+  private final Map<Ask, Integer> nothingLeft = new HashMap<>();
+
   Candidates(ClusterRooms rooms, RoomIndex index, AcceleratorKeep keep) {
     this.rooms = rooms;
     this.index = index;
@@ -69,8 +75,13 @@
    * @param named a round can name so many machines
    */
   List<Room> best(JobState job, int tasks, int most, int named) {
+    if (nothingIsLeft(job)) {
+      return List.of();
+    }
     if (tasks <= most && keep.larger(job.record().spec()).isEmpty()) {
-      return rooms(leastOfAll(job, named + 1));
+      List<Scored> least = leastOfAll(job, named + 1);
+      remember(job, least.isEmpty());
+      return rooms(least);
     }
     List<Scored> scored = scored(job, tasks);
     Comparator<Scored> order = Comparator.naturalOrder();
@@ -80,6 +91,17 @@
     return rooms(least(scored, named + 1, order));
   }
 
+  private boolean nothingIsLeft(JobState job) {
+    Integer changes = nothingLeft.get(Ask.of(job.record().spec()));
+    return changes != null && changes == rooms.changes().size();
+  }
+
+  private void remember(JobState job, boolean nothing) {
+    if (nothing && job.avoid().isEmpty()) {
+      nothingLeft.put(Ask.of(job.record().spec()), rooms.changes().size());
+    }
+  }
+
   /** The least ones of all, without keeping what is worse: most rooms are. */
   private List<Scored> leastOfAll(JobState job, int most) {
     JobSpec spec = job.record().spec();
@@ -112,14 +134,19 @@
   /** The best machines of each zone, as many as there are tasks; the zone with the best one first. */
   Map<String, List<Room>> bestByZone(JobState job, int tasks) {
     JobSpec spec = job.record().spec();
+    if (nothingIsLeft(job)) {
+      return Map.of();
+    }
     if (spec.estimateS() <= 0 && keep.larger(spec).isEmpty()) {
       Map<String, List<Room>> ranked = ranked(job, tasks);
       if (ranked != null) {
+        remember(job, ranked.isEmpty());
         return ranked;
       }
     }
     Comparator<Scored> order = Comparator.naturalOrder();
     List<List<Scored>> zones = new ArrayList<>(byZone(scored(job, tasks), tasks, order).values());
+    remember(job, zones.isEmpty());
     zones.sort((one, other) -> order.compare(one.get(0), other.get(0)));
     Map<String, List<Room>> result = new LinkedHashMap<>();
     for (List<Scored> zone : zones) {
@@ -135,7 +162,7 @@
     Predicate<Scored> test = judged -> mayTake(job, judged);
     Ranking known = rankings.get(question);
     Map<String, List<Room>> best = known == null ? null : known.best(tasks, test);
-    if (best == null) {
+    if (best == null && (known == null || known.hasChanged())) {
       Ranking made = ranking(spec, question.ask);
       rankings.put(question, made);
       best = made.best(tasks, test);
--- a/src/main/java/io/tansystack/schedule/Planner.java
+++ b/src/main/java/io/tansystack/schedule/Planner.java
@@ -29,8 +29,8 @@
    *
    * @param record bounds the size of a job's record
    * @param machines each machine chosen is a condition of the transaction that records the round
-   * @param jobs so many jobs of production are planned for, and so many others; what could be written only
-   *     much later is planned anew by then, and of jobs behind these it is only told what room they lack
+   * @param jobs so many jobs of production are planned for, and half as many others; what could be written
+   *     only much later is planned anew by then, and of jobs behind these it is only told what room they lack
    */
   public record Bounds(RecordLimit record, int machines, int jobs) {}
 
@@ -137,7 +137,9 @@
       return; // A job that seems to be at fault is tried with one task at a time.
     }
     boolean production = spec.priority() == Priority.PRODUCTION;
-    if ((production ? plannedOfProduction : plannedOthers) >= bounds.jobs) {
+    boolean enough =
+        production ? plannedOfProduction >= bounds.jobs : plannedOthers * 2 >= bounds.jobs;
+    if (enough) {
       onlyTellLack(job, most);
       return;
     }
--- a/src/main/java/io/tansystack/schedule/Ranking.java
+++ b/src/main/java/io/tansystack/schedule/Ranking.java
@@ -43,6 +43,7 @@
   private final Reference2ObjectOpenHashMap<Room, Scored> current =
       new Reference2ObjectOpenHashMap<>();
 
+  private final int madeAt;
   private int seen;
 
   /**
@@ -53,7 +54,8 @@
   Ranking(List<Room> rooms, List<Room> changes, Function<Room, Scored> judge) {
     this.changes = changes;
     this.judge = judge;
-    this.seen = changes.size();
+    this.madeAt = changes.size();
+    this.seen = madeAt;
     Map<String, List<Scored>> byZone = new TreeMap<>();
     for (Room room : rooms) {
       byZone
@@ -67,6 +69,11 @@
         });
   }
 
+  /** Whether one that is made anew may rank other rooms. */
+  boolean hasChanged() {
+    return changes.size() > madeAt;
+  }
+
   /** Judges again what has changed. */
   private void update() {
     for (; seen < changes.size(); seen++) {
--- a/src/main/java/io/tansystack/schedule/RoomIndex.java
+++ b/src/main/java/io/tansystack/schedule/RoomIndex.java
@@ -21,6 +21,9 @@
     final BitSet kinds;
     List<Room> fitting;
 
+    /** Rooms before this one have become full since the list was last cleared of those. */
+    int first;
+
     Answer(BitSet kinds) {
       this.kinds = kinds;
     }
@@ -64,18 +67,33 @@
 
   /** Rooms that may and can take one such task now, in the order of names; not to be changed. */
   List<Room> fitting(Ask ask) {
-    Answer answer = answer(ask);
-    if (answer.fitting == null) {
-      answer.fitting = isFull(ask) ? new ArrayList<>() : search(ask);
-    } else {
-      answer.fitting.removeIf(room -> !room.fitsOne(ask));
-    }
+    Answer answer = searched(ask);
+    answer.fitting.removeIf(room -> !room.fitsOne(ask));
+    answer.first = 0;
     if (answer.fitting.isEmpty() && !isFull(ask)) {
       fullFor.add(ask);
     }
     return Collections.unmodifiableList(answer.fitting);
   }
 
+  /** The same with rooms among them that have become full since; costs little where few are looked at. */
+  List<Room> mayFit(Ask ask) {
+    Answer answer = searched(ask);
+    List<Room> rooms = answer.fitting;
+    while (answer.first < rooms.size() && !rooms.get(answer.first).fitsOne(ask)) {
+      answer.first++;
+    }
+    return rooms.subList(answer.first, rooms.size());
+  }
+
+  private Answer searched(Ask ask) {
+    Answer answer = answer(ask);
+    if (answer.fitting == null) {
+      answer.fitting = isFull(ask) ? new ArrayList<>() : search(ask);
+    }
+    return answer;
+  }
+
   private List<Room> search(Ask ask) {
     Predicate<Room> allowed = allowed(ask);
     List<Room> found = new ArrayList<>();
--- a/src/main/java/io/tansystack/schedule/RoomMaker.java
+++ b/src/main/java/io/tansystack/schedule/RoomMaker.java
@@ -3,6 +3,7 @@
 import io.tansystack.schedule.Snapshot.JobState;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.Priority;
+import io.tansystack.wire.Shape;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -85,7 +86,7 @@
     JobSpec spec = job.record().spec();
     Predicate<Room> mayStandIn = index.allowed(job, ask);
     List<Room> allowed = new ArrayList<>();
-    for (Room room : mayPreempt ? rooms.all() : withRoomSoon(ask)) {
+    for (Room room : mayPreempt ? rooms.all() : withRoomSoon(spec, ask)) {
       if ((mayPreempt || room.fitsSoon(spec))
           && mayStandIn.test(room)
           && !keep.spoils(spec, room)) {
@@ -95,14 +96,16 @@
     return allowed;
   }
 
-  /** Rooms where it fits now, or may fit once what leaves is gone. */
-  private Collection<Room> withRoomSoon(Ask ask) {
-    List<Room> fitting = index.fitting(ask);
-    if (fitting.isEmpty()) {
+  /**
+   * Rooms where it may fit once what leaves is gone; for a gang also those where it fits now, since none of
+   * its tasks took any. For others these were looked at already.
+   */
+  private Collection<Room> withRoomSoon(JobSpec spec, Ask ask) {
+    if (spec.shape() != Shape.GANG) {
       return rooms.leaving().values();
     }
     TreeMap<String, Room> both = new TreeMap<>(rooms.leaving());
-    fitting.forEach(room -> both.put(room.machine.name(), room));
+    index.fitting(ask).forEach(room -> both.put(room.machine.name(), room));
     return both.values();
   }
 }
--- a/src/main/java/io/tansystack/schedule/TaskPlacer.java
+++ b/src/main/java/io/tansystack/schedule/TaskPlacer.java
@@ -53,15 +53,17 @@
    */
   boolean canBeNamed(JobState job) {
     JobSpec spec = job.record().spec();
+    if (spec.shape() != Shape.GANG) {
+      return true;
+    }
     int each = rooms.mostOnOne(spec);
-    return spec.shape() != Shape.GANG
-        || each == 0
+    return each == 0
         || (long) each * Math.min(maxMachines, limit.placedAtOnce(spec)) >= spec.tasks();
   }
 
   /** Whether any machine could take one of the job's tasks. */
   boolean findsRoom(JobState job) {
-    return !index.fitting(Ask.of(job.record().spec())).isEmpty();
+    return !index.mayFit(Ask.of(job.record().spec())).isEmpty();
   }
 
   /** Tasks by the machines chosen for them. */
@@ -215,11 +217,12 @@
     JobSpec spec = job.record().spec();
     int left = tasks;
     boolean byZone = Zones.matter(spec);
-    for (Room room : index.fitting(Ask.of(spec))) {
+    for (Room room : index.mayFit(Ask.of(spec))) {
       if (left == 0) {
         break;
       }
-      if (job.avoid().contains(room.machine.name())
+      if (!room.fitsOne(spec)
+          || job.avoid().contains(room.machine.name())
           || (keep.spoils(spec, room) && keep.keptForOthers(room))) {
         continue;
       }
