The pause after a pass is 120 times its length again

A pass leads to writes, orders and messages, so that more passes cost more than they take.

Change: the factor is what it was. Writes between passes, which were the reason for the slow ramps, don't depend on it. Not measured yet when this is committed.

--- a/src/main/java/io/tansystack/jobs/JobDuty.java
+++ b/src/main/java/io/tansystack/jobs/JobDuty.java
@@ -37,10 +37,11 @@
   private static final Duration LOOK_GAP = Duration.ofMillis(500);
 
   /**
-   * A pass is followed by a pause of so many times its length, so that planning takes a thirtieth of the
-   * processor: reports and renewals come first. Shorter where one of our jobs has just come.
+   * A pass is followed by a pause of so many times its length: reports and renewals come first. Shorter where
+   * one of our jobs has just come. Each pass also leads to writes and orders, so that more of them cost more
+   * than their own time: with 30 days of pelamin-gallery-grown went over their processor time.
    */
-  private static final int REST = 30;
+  private static final int REST = 120;
 
   /** What waits for room is not kept waiting longer for a pass, however long one takes. */
   private static final Duration LONGEST_REST = Duration.ofMillis(1500);
