What waits for the write limit is gathered for half a second

A budget holds one second's worth, so half a second loses none of it. Not measured yet when this is committed.

--- a/src/main/java/io/tansystack/jobs/RoundWriter.java
+++ b/src/main/java/io/tansystack/jobs/RoundWriter.java
@@ -40,8 +40,11 @@
   /** What is to be tried again soon is tried after this. */
   static final Duration SOON = Duration.ofMillis(40);
 
-  /** What waits for the write limit is looked at again after this, without another pass. */
-  private static final Duration WRITE_AGAIN = Duration.ofMillis(100);
+  /**
+   * What waits for the write limit is looked at again after this, without another pass. A budget holds one
+   * second's worth, so nothing of it is lost, and every transaction is told to all controllers.
+   */
+  private static final Duration WRITE_AGAIN = Duration.ofMillis(500);
 
   /** Progress of arrays that places nothing and ends nothing may use so much of the write limit. */
   private static final double PROGRESS_SHARE = 0.08;
@@ -173,8 +176,8 @@
   }
 
   /**
-   * The limit leaves room for a few writes every tenth of a second. A pass may take longer than that, or
-   * come much later, and what was not written in the meantime could not be made up for.
+   * The limit leaves room for more writes before the next pass, which may be long or come late, and what was
+   * not written in the meantime could not be made up for.
    */
   private void writeAgain() {
     if (!timed) {
