JobDuty keeps no settings that it reads at its start alone

The bounds of a pass are worked out once now, so the field was read by nothing. Behaviour is unchanged; the tests of planner, kept rooms, drafts, packages and the simulated cluster passed, the others were not run again.

--- a/src/main/java/io/tansystack/jobs/JobDuty.java
+++ b/src/main/java/io/tansystack/jobs/JobDuty.java
@@ -64,7 +64,6 @@
   private final World world;
   private final OwnLease lease;
   private final SlotDuty slots;
-  private final PlatformSettings settings;
   private final Supplier<List<MachineState>> booting;
   private final Consumer<Runnable> measured;
   private final Coverage coverage;
@@ -102,7 +101,6 @@
     this.world = world;
     this.lease = lease;
     this.slots = slots;
-    this.settings = settings;
     this.booting = booting;
     this.measured = measured;
     this.coverage = coverage;
