A failing test for ran_twice: a zone that comes back while its leases run

ZoneCutTest cuts a zone off with its machines and two of four controllers, lets a user cancel a quarter of the jobs at a controller outside, and ends the cut at 107 moments (20 to 36 s with lease_s 18 and cancel_s 43, 44 to 54 s with 36 and 61, 38 to 48 s with 30 and 55).

--- /dev/null
+++ b/src/test/java/io/tansystack/sim/ZoneCutTest.java
@@ -0,0 +1,85 @@
+package io.tansystack.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * A zone is cut off from the state service, its machines are handed to controllers outside, and the cut ends
+ * while the workers' leases, which the controllers inside have renewed, still run.
+ */
+class ZoneCutTest extends Meeting {
+  private static final int JOBS = 24;
+  private static final int CANCELLED = 6;
+  private static final Duration LONG_RUN = Duration.ofSeconds(100);
+  private static final Duration SHORT_RUN = Duration.ofSeconds(2);
+  private static final Duration SHORT_JOBS_EVERY = Duration.ofSeconds(4);
+
+  /** Jobs that follow the first ones are short: they keep machines outside rented, so that there is room. */
+  @Override
+  Duration runOf(String task) {
+    int job = Integer.parseInt(task.substring("wk-".length(), task.indexOf('/')));
+    return job < JOBS ? LONG_RUN : SHORT_RUN;
+  }
+
+  private void keepMachinesOutside() {
+    work(CANCELLED, 2);
+    loop.after(SHORT_JOBS_EVERY, this::keepMachinesOutside);
+  }
+
+  /** Lengths of cuts in milliseconds, each with {@code lease_s} and {@code cancel_s} of the settings. */
+  static Stream<Arguments> cuts() {
+    return Stream.of(cuts(20_000, 36_000, 250, 18, 43), cuts(44_000, 54_000, 500, 36, 61), cuts(38_000, 48_000, 500, 30, 55))
+        .flatMap(lengths -> lengths);
+  }
+
+  private static Stream<Arguments> cuts(int fromMs, int toMs, int stepMs, int lease, int cancel) {
+    return IntStream.iterate(fromMs, ms -> ms <= toMs, ms -> ms + stepMs)
+        .mapToObj(ms -> Arguments.of(Duration.ofMillis(ms), lease, cancel));
+  }
+
+  /**
+   * Half of the machines have a job that is cancelled outside while they are cut off, beside one that goes on.
+   * When they come back, what was cancelled is stopped by direct commands and their reports are not answered
+   * before that. Nothing of it proves that their leases have run out: what goes on there starts nowhere else.
+   */
+  @ParameterizedTest
+  @MethodSource("cuts")
+  void workOnMachinesWithCancelledJobsStartsNowhereElseWhileTheirLeasesRun(
+      Duration cut, int lease, int cancel) throws Exception {
+    settings =
+        settings
+            .replace("cpus_max = 60.0", "cpus_max = 0.0")
+            .replace("lease_s = 36.0", "lease_s = " + lease + ".0")
+            .replace("cancel_s = 61.0", "cancel_s = " + cancel + ".0");
+    random = new Random(cut.toMillis());
+    zones = List.of("a", "b");
+    controllersInAllZones = true;
+    full.add("a");
+    start(4, 32);
+    work(JOBS, 2);
+    loop.runFor(Duration.ofSeconds(14));
+    full.clear();
+    full.add("b");
+    cutZone = "b";
+    keepMachinesOutside();
+    for (int i = 0; i < CANCELLED; i++) {
+      String id = id(i * JOBS / CANCELLED);
+      loop.after(Duration.ofMillis(500 + 200L * i), () -> users().cancel(id, 0));
+    }
+    loop.runFor(cut);
+    cutZone = null;
+    loop.runFor(Duration.ofSeconds(15));
+    assertEquals(Set.of(), users().judge().broken);
+    long cancelled = users().jobs.values().stream().filter(told -> told.cancelled != null).count();
+    assertEquals(CANCELLED, cancelled, "confirmed cancellations");
+  }
+}
