A lease counts from a former owner's answers until the token is shown

What callers saw: ran_twice. 1.1 s after the zone penang came back from a cut of 33.65 s, a task that still ran on a machine there was started on another.

Cause: when a machine is handed to a new owner, its worker may go on taking the former owner's answers until it has shown the new owner's token. Departures took a shown token for the end of these answers as of the handover: with the token shown it counted the lease from the last report that the new owner had answered, and before the first one from the moment at which it came to own the machine. That held while a worker could learn the token from an answered report only. Since a machine with cancelled work that is past its time is first told to stop it, by a direct command under the new token, while its reports are refused. Its answer shows the token, nothing was answered yet, and the lease counted from the handover, some 10 s before the former owner's last answer: the machine was declared gone within a second, and all its tasks were free to start elsewhere, while its lease ran on.

Evidence: in ZoneCutTest the machines declared gone after the cut are among those left to their lease in each of the eight red rows, and in no other row is any declared gone. In production the machine of the broken task had been berth-0's since the handover (the labels' and the name's hash give so, and give all twelve owners that berth-6 logged at 173.66).

Fix: a shown token ends the former owner's answers at the moment at which it is first seen, no sooner. OwnedMachine.lastAnswerAt is the later of the own last answer and of the former owner's: validity's end, or that moment if it is earlier. An answer before it can be as new as the showing; one after it is dropped by the worker for its lower token.

--- a/src/main/java/io/tansystack/workers/Departures.java
+++ b/src/main/java/io/tansystack/workers/Departures.java
@@ -19,6 +19,12 @@
   /** Workers try one controller after the other, and each report has 4 s. */
   private static final Duration COME_BACK = Duration.ofSeconds(10);
 
+  /** Steady clocks drift apart by up to 0.05%: this part of a span is four times that. */
+  private static final int DRIFT_PART = 500;
+
+  /** Timers fire in steps, and late. */
+  private static final Duration MARGIN = Duration.ofSeconds(1);
+
   private final Loop loop;
   private final StoreClient store;
   private final World world;
@@ -42,10 +48,9 @@
   }
 
   /**
-   * The worker's lease has run out for certain: it counts from when the last answered report was
-   * sent, which was before we received it. Until a worker has shown our token, its former owner may
-   * have gone on answering for as long as that one could be valid. One that was cut off itself waits
-   * for its workers to come back first: their next session proves as much without a write for each.
+   * Declares the machine gone if its worker's lease has run out for certain. A controller that was cut off
+   * itself waits for its workers to come back first: their next session proves as much without a write for
+   * each.
    *
    * @param record the machine's, which is this controller's own
    * @param listeningSince since when reports were heard and answered
@@ -54,12 +59,7 @@
     if (!lease.valid() || machine.claiming) {
       return;
     }
-    boolean shown = machine.latest != null && machine.latest.token() >= world.token(record);
-    Duration from = machine.answeredAt;
-    if (!shown && machine.formerOwnerUntil.compareTo(from) > 0) {
-      from = machine.formerOwnerUntil;
-    }
-    Duration sure = from.plus(workerLease).plus(workerLease.dividedBy(500)).plusSeconds(1);
+    Duration sure = leaseEndsBefore(machine);
     Duration now = loop.now();
     if (now.compareTo(sure) < 0 || now.minus(listeningSince).compareTo(COME_BACK) < 0) {
       return;
@@ -86,4 +86,13 @@
           }
         });
   }
+
+  /**
+   * A moment by which the worker's lease has run out unless this controller has answered it since: the lease
+   * counts from when the last answered report was sent, which was before its owner received it.
+   */
+  private Duration leaseEndsBefore(OwnedMachine machine) {
+    Duration drift = workerLease.dividedBy(DRIFT_PART);
+    return machine.lastAnswerAt().plus(workerLease).plus(drift).plus(MARGIN);
+  }
 }
--- a/src/main/java/io/tansystack/workers/OwnedMachine.java
+++ b/src/main/java/io/tansystack/workers/OwnedMachine.java
@@ -50,8 +50,8 @@
   /** The token under which that was answered. */
   long answeredUnder = -1;
 
-  /** Until then a former owner may have answered, as long as the worker hasn't shown our token. */
-  Duration formerOwnerUntil = Duration.ZERO;
+  /** The latest moment at which a former owner can have answered a report of the worker. */
+  private Duration formerOwnerUntil;
 
   /** Nothing is wanted of it as things stand, until it reports or something is recorded on it. */
   boolean settled;
@@ -80,10 +80,12 @@
   View published;
   Duration publishedAt = Duration.ZERO;
 
-  OwnedMachine(String name, MachineHistory history, Duration now) {
+  /** @param formerUntil the latest moment at which a former owner can answer its worker */
+  OwnedMachine(String name, MachineHistory history, Duration now, Duration formerUntil) {
     this.name = name;
     this.history = history;
     this.answeredAt = now;
+    this.formerOwnerUntil = formerUntil;
     this.forgetAt = now.plus(Orders.FORGET_WAIT);
   }
 
@@ -98,6 +100,21 @@
     heldBy = revision;
   }
 
+  /**
+   * The worker has shown this controller's token, in whatever message: from now on it drops the answers of
+   * former owners. Until now it may have taken them, whoever answered it before.
+   */
+  void tokenShown(Duration now) {
+    if (now.compareTo(formerOwnerUntil) < 0) {
+      formerOwnerUntil = now;
+    }
+  }
+
+  /** The latest moment from which the worker's lease can count: an answer of this owner or a former one. */
+  Duration lastAnswerAt() {
+    return formerOwnerUntil.compareTo(answeredAt) > 0 ? formerOwnerUntil : answeredAt;
+  }
+
   /** Reads a report; one that repeats the one before is known by its bytes. */
   Report read(ReportHead head, byte[] body) throws BadInput {
     if (lastBody != null && head.sameRest(body, lastHead, lastBody)) {
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -214,9 +214,7 @@
           if (old != null) {
             history.inherit(old.images(), old.fetchGbPerS());
           }
-          OwnedMachine machine = new OwnedMachine(name, history, now);
-          machine.formerOwnerUntil = now.plus(lease.life());
-          return machine;
+          return new OwnedMachine(name, history, now, now.plus(lease.life()));
         });
   }
 
@@ -343,10 +341,13 @@
             : record.since(),
         now.plus(lease.life()));
     Report latest = machine.latest;
+    long token = world.token(record);
+    if (latest != null && latest.token() >= token) {
+      machine.tokenShown(now);
+    }
     if (latest == null || !lease.valid()) {
       return;
     }
-    long token = world.token(record);
     if (!usable(record)) {
       telling.tell(machine, token, List.of(), silences.of(machine, now), now);
       return;
--- a/src/test/java/io/tansystack/workers/OwnedMachineTest.java
+++ b/src/test/java/io/tansystack/workers/OwnedMachineTest.java
@@ -47,7 +47,7 @@
           """)
   void copiesRenewNothingAndWhoDoesNotHearIsTold(String reports, int from, boolean unhearing) {
     Duration now = Duration.ofSeconds(1000);
-    OwnedMachine machine = new OwnedMachine("n-1", new MachineHistory(50), now);
+    OwnedMachine machine = new OwnedMachine("n-1", new MachineHistory(50), now, now);
     Duration answered = now;
     int at = 0;
     for (String text : reports.split(",")) {
@@ -62,4 +62,47 @@
     assertEquals(answered, machine.answeredAt);
     assertEquals(unhearing, machine.unhearing());
   }
+
+  /**
+   * What happens in which second after the machine came to be this controller's, while a former owner may act
+   * for 17 s more: a report of it is answered, it shows the token, or its record changes and changes back.
+   */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      textBlock =
+          """
+          none 0                            | 17
+          answered 3                        | 17
+          shown 3                           | 3
+          answered 3, shown 5               | 5
+          shown 5, answered 9               | 9
+          answered 3, shown 20              | 17
+          answered 20, shown 21             | 20
+          shown 5, changed 8                | 25
+          shown 5, changed 8, shown 10      | 10
+          answered 3, changed 8, answered 9 | 25
+          """)
+  void aLeaseCountsFromAFormerOwnersAnswersUntilTheTokenIsShown(String events, int lastAnswerS) {
+    Duration life = Duration.ofSeconds(17);
+    OwnedMachine machine = new OwnedMachine("n-1", new MachineHistory(50), Duration.ZERO, life);
+    long revision = TOKEN;
+    machine.heldBy(revision, life);
+    int sequence = 0;
+    for (String event : events.split(", ")) {
+      String[] parts = event.split(" ");
+      Duration now = Duration.ofSeconds(Long.parseLong(parts[1]));
+      switch (parts[0]) {
+        case "answered" -> {
+          Report report = report("1 " + ++sequence + " 0");
+          machine.answered(report, TOKEN, now);
+          machine.take(report);
+        }
+        case "shown" -> machine.tokenShown(now);
+        case "changed" -> machine.heldBy(++revision, now.plus(life));
+        default -> assertEquals("none", parts[0]);
+      }
+    }
+    assertEquals(Duration.ofSeconds(lastAnswerS), machine.lastAnswerAt());
+  }
 }
