Log what a departure, an answer and each dropped placement rest on

The records of the incident did not tell why attempt 1 was dropped: the line "gone" named neither the session nor the moments from which the lease was counted, no line told by which proof a placement went, who had come to own a machine by another's record of heirs, or how old a copy was.

No decision changes.

--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -76,6 +76,10 @@
 
   /** Whether this controller has been entitled to act since it started. */
   private boolean acted;
+
+  /** Whether it was entitled to act when that was logged last. */
+  private boolean loggedValid;
+
   private final byte[] empty = Cbor.encode(Cbor.map());
 
   public Controller(
@@ -218,6 +222,7 @@
     }
     heardUntil = loop.now();
     ticks++;
+    logValidity();
     store.writeRate(writeShare(slots.plans() ? slots.plannerCount() : settings.size()));
     if (ticks % 2 == 0) {
       desk.tick();
@@ -234,6 +239,14 @@
     }
   }
 
+  /** Workers' answers, commands and departures rest on it. */
+  private void logValidity() {
+    if (lease.valid() != loggedValid) {
+      loggedValid = !loggedValid;
+      log.info("{} {}", loggedValid ? "may act" : "may not act any more", lease.grounds());
+    }
+  }
+
   /** Its part of the write limit, shared with so many others; those who plan write most of it. */
   private double writeShare(int among) {
     double writes = settings.store().writeRps();
@@ -245,7 +258,7 @@
   private void summarise() {
     loop.after(SUMMARY_EVERY, this::summarise);
     log.info(
-        "summary jobs={} machines={} idle={} closed={} unmet={} owned={} valid={} plans={} stalls={} count/p50/p99/max{}",
+        "summary jobs={} machines={} idle={} closed={} unmet={} owned={} valid={} plans={} stalls={} {} count/p50/p99/max{}",
         world.jobs().size(),
         world.machines().size(),
         world.machines().keySet().stream().filter(m -> world.placedOn(m).isEmpty()).count(),
@@ -255,6 +268,7 @@
         lease.valid(),
         slots.plans(),
         stall.stalls(),
+        lease.grounds(),
         latencies.summary());
   }
 
--- a/src/main/java/io/tansystack/cluster/OwnLease.java
+++ b/src/main/java/io/tansystack/cluster/OwnLease.java
@@ -173,6 +173,24 @@
     return valid() && watcher.syncedAt().compareTo(stall.listeningSince()) >= 0;
   }
 
+  /** On what the right to act rests now: the registration, the last renewal and the copy's age; for logs. */
+  public String grounds() {
+    return "registered="
+        + (registered ? registeredAt : "no")
+        + " lease="
+        + lease
+        + " renewed="
+        + age(renewedAt)
+        + " synced="
+        + age(watcher.syncedAt())
+        + " copy="
+        + watcher.revision();
+  }
+
+  private String age(Duration since) {
+    return since == null ? "never" : loop.now().minus(since).toMillis() + "ms";
+  }
+
   /** Checked at the moment of every act. */
   public boolean valid() {
     if (!registered || renewedAt == null || watcher.syncedAt() == null) {
--- a/src/main/java/io/tansystack/cluster/SlotDuty.java
+++ b/src/main/java/io/tansystack/cluster/SlotDuty.java
@@ -299,11 +299,12 @@
         Duration.ofSeconds(1),
         (result, revision) -> {
           log.info(
-              "claim {} for={} former={} result={}",
+              "claim {} for={} former={} result={} revision={}",
               key,
               to,
-              before == null ? "none" : before.label(),
-              result);
+              before == null ? "none" : before.label() + "@" + before.version(),
+              result,
+              revision);
           settled(key, result, revision);
         });
   }
--- a/src/main/java/io/tansystack/jobs/ForeignProofs.java
+++ b/src/main/java/io/tansystack/jobs/ForeignProofs.java
@@ -90,6 +90,7 @@
       Drafts.addProofConditions(book.proofs(id), new HashSet<>(), conditions);
       JobRecord next = book.effective().get(id);
       log.info("taking in proofs for job={} of another's slot {}", id, job.slot());
+      DropLog.log(id, book.proofs(id), world.revision());
       book.writing(job, next);
       store.commitReserved(
           conditions,
--- a/src/main/java/io/tansystack/jobs/RoundWriter.java
+++ b/src/main/java/io/tansystack/jobs/RoundWriter.java
@@ -357,6 +357,7 @@
 
   private void report(Draft draft) {
     String id = draft.job().id();
+    DropLog.log(id, book.proofs(id), world.revision());
     for (Plan.Stop stop : plan.stops().getOrDefault(id, List.of())) {
       if (stop.isMove()) {
         book.movedOff(id, stop.machine());
--- a/src/main/java/io/tansystack/workers/Cancelled.java
+++ b/src/main/java/io/tansystack/workers/Cancelled.java
@@ -88,7 +88,12 @@
               && (!quiet || lists(report, placed.id(), placement.attempt()));
     }
     if (left && !machine.leftToItsLease) {
-      log.warn("machine={} is left to its lease: what was cancelled there can't be stopped", machine.name);
+      log.warn(
+          "machine={} session={} shown={} token={} is left to its lease: what was cancelled there can't be stopped",
+          machine.name,
+          report.session(),
+          report.token(),
+          token);
     }
     machine.leftToItsLease = left;
     return left;
--- a/src/main/java/io/tansystack/workers/Departures.java
+++ b/src/main/java/io/tansystack/workers/Departures.java
@@ -7,6 +7,7 @@
 import io.tansystack.http.Loop;
 import io.tansystack.store.StoreClient;
 import io.tansystack.store.StoreClient.Result;
+import io.tansystack.wire.Report;
 import java.time.Duration;
 import java.util.List;
 import org.slf4j.Logger;
@@ -64,6 +65,7 @@
     if (now.compareTo(sure) < 0 || now.minus(listeningSince).compareTo(COME_BACK) < 0) {
       return;
     }
+    String grounds = grounds(machine, record, now);
     // An earlier one without an answer may still be applied, whatever becomes of this one.
     boolean doubtful = machine.goneVersion == record.version();
     machine.claiming = true;
@@ -80,13 +82,34 @@
           }
           if (result == Result.DONE) {
             log.warn(
-                "gone machine={} token={} because=its lease has run out unanswered",
+                "gone machine={} because=its lease has run out unanswered {}",
                 machine.name,
-                record.version());
+                grounds);
           }
         });
   }
 
+  /** On what the departure rests, for its log line; written when it was decided. */
+  private String grounds(OwnedMachine machine, MachineRecord record, Duration now) {
+    Report latest = machine.latest;
+    return "claimant="
+        + record.claimant()
+        + "@"
+        + record.version()
+        + " token="
+        + world.token(record)
+        + " session="
+        + (latest == null ? "unheard" : latest.session())
+        + " shown="
+        + (latest == null ? 0 : latest.token())
+        + " answered="
+        + now.minus(machine.answeredAt).toMillis()
+        + "ms former="
+        + now.minus(machine.formerOwnerUntil()).toMillis()
+        + "ms copy="
+        + world.revision();
+  }
+
   /**
    * A moment by which the worker's lease has run out unless this controller has answered it since: the lease
    * counts from when the last answered report was sent, which was before its owner received it.
--- a/src/main/java/io/tansystack/workers/OwnedMachine.java
+++ b/src/main/java/io/tansystack/workers/OwnedMachine.java
@@ -50,7 +50,6 @@
   /** The token under which that was answered. */
   long answeredUnder = -1;
 
-  /** The latest moment at which a former owner can have answered a report of the worker. */
   private Duration formerOwnerUntil;
 
   /** Nothing is wanted of it as things stand, until it reports or something is recorded on it. */
@@ -110,6 +109,11 @@
     }
   }
 
+  /** The latest moment at which a former owner can have answered a report of the worker. */
+  Duration formerOwnerUntil() {
+    return formerOwnerUntil;
+  }
+
   /** The latest moment from which the worker's lease can count: an answer of this owner or a former one. */
   Duration lastAnswerAt() {
     return formerOwnerUntil.compareTo(answeredAt) > 0 ? formerOwnerUntil : answeredAt;
--- a/src/main/java/io/tansystack/workers/Proofs.java
+++ b/src/main/java/io/tansystack/workers/Proofs.java
@@ -4,10 +4,12 @@
 import io.tansystack.records.JobRecord.Over;
 import io.tansystack.records.JobRecord;
 import io.tansystack.records.Placement;
+import io.tansystack.records.TaskSet;
 import io.tansystack.wire.StoreWire.Condition;
 import io.tansystack.wire.TaskReport.Cause;
 import io.tansystack.wire.TaskReport;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 import java.util.function.Function;
 import java.util.function.ToLongFunction;
@@ -31,12 +33,43 @@
  * @param over what is over
  * @param conditions versions that must still hold when this is written down
  * @param failures what went wrong with some of them
+ * @param grounds what each of it rests on, for the log
  */
-public record Proofs(List<Over> over, List<Condition> conditions, List<Failure> failures) {
+public record Proofs(
+    List<Over> over, List<Condition> conditions, List<Failure> failures, List<Ground> grounds) {
 
   /** An attempt that ended by something else than its completion or a stop. */
   public record Failure(int task, long attempt, String machine, Cause cause) {}
 
+  /** Which of the four proofs. */
+  public enum Kind {
+    ENDED("ended"),
+    LATER_SESSION("later session"),
+    RECORD_GONE("record gone"),
+    OWNERS_WORD("owner's word");
+
+    private final String text;
+
+    Kind(String text) {
+      this.text = text;
+    }
+  }
+
+  /**
+   * Why tasks of a placement are over.
+   *
+   * @param session the session that the machine reported; 0 if nothing is known of it
+   * @param token under which its owner has told that
+   */
+  public record Ground(
+      Kind kind, String machine, long attempt, TaskSet tasks, long session, long token) {
+    @Override
+    public String toString() {
+      return machine + "#" + attempt + "=" + tasks + " " + kind.text + " session=" + session
+          + " token=" + token;
+    }
+  }
+
   /**
    * @param maxConditions a transaction holds so many only. Proofs beyond that are left for the next
    *     one: a job whose round could never be written would be stuck for ever
@@ -48,44 +81,89 @@
       Function<String, MachineRecord> machines,
       ToLongFunction<MachineRecord> tokens,
       int maxConditions) {
-    List<Over> over = new ArrayList<>();
-    List<Condition> conditions = new ArrayList<>();
-    List<Failure> failures = new ArrayList<>();
-    for (Placement p : record.placements()) {
-      MachineRecord machine = machines.apply(p.machine());
-      View view = views.apply(p.machine());
-      if (machine == null || (view != null && view.report().session() > p.session())) {
-        p.tasks().forEach(task -> over.add(new Over(task, p.attempt(), p.machine(), false)));
-        continue;
-      }
-      if (view == null || view.report().session() != p.session()) {
-        continue;
+    Collector collector = new Collector(job, maxConditions);
+    for (Placement placement : record.placements()) {
+      MachineRecord machine = machines.apply(placement.machine());
+      View view = views.apply(placement.machine());
+      if (machine == null) {
+        collector.all(placement, view, Kind.RECORD_GONE);
+      } else if (view != null && view.report().session() > placement.session()) {
+        collector.all(placement, view, Kind.LATER_SESSION);
+      } else if (view != null && view.report().session() == placement.session()) {
+        collector.ended(placement, view);
+        if (view.token() == tokens.applyAsLong(machine)) {
+          collector.saidAbsent(placement, view, machine.condition());
+        }
       }
+    }
+    return collector.found();
+  }
+
+  /** Gathers the proofs for one job, placement by placement. */
+  private static final class Collector {
+    private final String job;
+    private final int maxConditions;
+    private final List<Over> over = new ArrayList<>();
+    private final List<Condition> conditions = new ArrayList<>();
+    private final List<Failure> failures = new ArrayList<>();
+    private final List<Ground> grounds = new ArrayList<>();
+
+    Collector(String job, int maxConditions) {
+      this.job = job;
+      this.maxConditions = maxConditions;
+    }
+
+    Proofs found() {
+      return new Proofs(over, conditions, failures, grounds);
+    }
+
+    /** Everything of the placement is over. */
+    void all(Placement p, View view, Kind kind) {
+      p.tasks().forEach(task -> over.add(new Over(task, p.attempt(), p.machine(), false)));
+      ground(p, view, kind, p.tasks());
+    }
+
+    /** What the machine reports as ended, in the session of the placement. */
+    void ended(Placement p, View view) {
+      BitSet ended = new BitSet();
       for (TaskReport task : view.exitedOf(job)) {
         int index = task.task().index();
-        if (task.attempt() == p.attempt() && p.tasks().contains(index)) {
-          over.add(new Over(index, p.attempt(), p.machine(), task.cause() == Cause.DONE));
-          if (task.cause() != Cause.DONE && task.cause() != Cause.STOPPED) {
-            failures.add(new Failure(index, p.attempt(), p.machine(), task.cause()));
-          }
+        if (task.attempt() != p.attempt() || !p.tasks().contains(index)) {
+          continue;
+        }
+        over.add(new Over(index, p.attempt(), p.machine(), task.cause() == Cause.DONE));
+        ended.set(index);
+        if (task.cause() != Cause.DONE && task.cause() != Cause.STOPPED) {
+          failures.add(new Failure(index, p.attempt(), p.machine(), task.cause()));
         }
       }
-      Condition owner = machine.condition();
-      if (view.token() != tokens.applyAsLong(machine)
-          || (conditions.size() >= maxConditions && !conditions.contains(owner))) {
-        continue;
+      ground(p, view, Kind.ENDED, TaskSet.of(ended));
+    }
+
+    /** What the machine's owner says is unwanted and not there; holds under the condition. */
+    void saidAbsent(Placement p, View view, Condition owner) {
+      if (conditions.size() >= maxConditions && !conditions.contains(owner)) {
+        return;
       }
-      boolean used = false;
+      BitSet absent = new BitSet();
       for (View.Void v : view.voids()) {
         if (v.job().equals(job) && v.attempt() == p.attempt() && p.tasks().contains(v.task())) {
           over.add(new Over(v.task(), p.attempt(), p.machine(), false));
-          used = true;
+          absent.set(v.task());
         }
       }
-      if (used && !conditions.contains(owner)) {
+      if (!absent.isEmpty() && !conditions.contains(owner)) {
         conditions.add(owner);
       }
+      ground(p, view, Kind.OWNERS_WORD, TaskSet.of(absent));
+    }
+
+    private void ground(Placement p, View view, Kind kind, TaskSet tasks) {
+      if (!tasks.isEmpty()) {
+        long session = view == null ? 0 : view.report().session();
+        long token = view == null ? 0 : view.token();
+        grounds.add(new Ground(kind, p.machine(), p.attempt(), tasks, session, token));
+      }
     }
-    return new Proofs(over, conditions, failures);
   }
 }
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -14,7 +14,6 @@
 import io.tansystack.recovery.Reconciliation;
 import io.tansystack.recovery.Recovery;
 import io.tansystack.recovery.Start;
-import io.tansystack.schedule.MachineHistory;
 import io.tansystack.store.StoreClient;
 import io.tansystack.wire.Addresses;
 import io.tansystack.wire.Answers;
@@ -27,15 +26,13 @@
 import io.tansystack.wire.Report;
 import io.tansystack.wire.ReportHead;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
@@ -51,16 +48,15 @@
   /** More machines than this part falling silent at once speaks of us or the network, not of them. */
   public static final double MASS = 0.34;
 
-  private final Malformed malformed = new Malformed(LoggerFactory.getLogger(WorkerDesk.class));
+  private static final Logger log = LoggerFactory.getLogger(WorkerDesk.class);
+
+  private final Malformed malformed = new Malformed(log);
   private final Loop loop;
   private final World world;
   private final OwnLease lease;
   private final String label;
   private final String boot;
-  private final Function<String, MachineType> types;
-  private final Function<String, View> views;
-  private final Map<String, OwnedMachine> machines = new LinkedHashMap<>();
-
+  private final OwnedMachines machines;
   private final Silences silences;
   private int lost;
   private final Claims claims;
@@ -95,8 +91,7 @@
     this.lease = lease;
     this.label = label;
     this.boot = boot;
-    this.types = types;
-    this.views = views;
+    this.machines = new OwnedMachines(loop, world, lease, types, views);
     this.silences = new Silences(loop.now());
     this.claims =
         new Claims(
@@ -166,7 +161,7 @@
       return;
     }
     Duration now = loop.now();
-    OwnedMachine machine = machine(record, now);
+    OwnedMachine machine = machines.of(record);
     if (!usable(record)) {
       if (machine.claiming) {
         reply.send(503, Cbor.encode(Answers.error("it is being declared gone")));
@@ -178,6 +173,15 @@
     if (cancelled.leftToItsLease(machine, report, token)) {
       reply.send(503, Cbor.encode(Answers.error("cancelled work can't be stopped there")));
     } else {
+      if (machine.answeredUnder != token) {
+        log.info(
+            "answers machine={} session={} shown={} token={} copy={}",
+            machine.name,
+            report.session(),
+            report.token(),
+            token,
+            world.revision());
+      }
       machine.answered(report, token, now);
       if (machine.latest == null) {
         lost += Start.lost(world.placedOn(record.name()), report.session());
@@ -191,7 +195,7 @@
   /** How far this controller's machines are since it started. */
   public Start.Standing standing() {
     int heard = 0;
-    for (OwnedMachine machine : machines.values()) {
+    for (OwnedMachine machine : machines.all()) {
       heard += machine.latest == null ? 0 : 1;
     }
     return new Start.Standing(
@@ -204,20 +208,6 @@
         lost);
   }
 
-  private OwnedMachine machine(MachineRecord record, Duration now) {
-    return machines.computeIfAbsent(
-        record.name(),
-        name -> {
-          MachineType type = types.apply(record.type());
-          MachineHistory history = new MachineHistory(type == null ? 50 : type.cacheGb());
-          View old = views.apply(name);
-          if (old != null) {
-            history.inherit(old.images(), old.fetchGbPerS());
-          }
-          return new OwnedMachine(name, history, now, now.plus(lease.life()));
-        });
-  }
-
   /** Takes in a report unless a newer one is known; reports may arrive minutes late. */
   private void take(OwnedMachine machine, Report report) {
     if (machine.latest != null && !report.newerThan(machine.latest)) {
@@ -257,12 +247,13 @@
     for (String name : Sets.union(touched.machines(), touched.placedOn())) {
       MachineRecord record = world.machine(name);
       // Ours by a claim whose answer was lost, or adopted: its silence has to be timed too.
-      OwnedMachine machine = mine(record) ? machine(record, loop.now()) : machines.get(name);
+      OwnedMachine machine = mine(record) ? machines.of(record) : machines.get(name);
       if (machine != null) {
         machine.settled = false;
         tend(machine);
       }
     }
+    machines.logAcquired();
   }
 
   /**
@@ -273,7 +264,7 @@
     double usual = 0;
     for (MachineRecord record : world.machines().values()) {
       if (mine(record)) {
-        machine(record, loop.now());
+        machines.of(record);
         usual += OrderPace.usual(world.placedOn(record.name()));
       }
     }
@@ -289,14 +280,14 @@
       listenAnew(); // Reports are refused now; that workers then go elsewhere is no silence of theirs.
     }
     claims.tick(now);
-    for (OwnedMachine machine : List.copyOf(machines.values())) {
+    for (OwnedMachine machine : List.copyOf(machines.all())) {
       tend(machine);
       MachineRecord record = world.machine(machine.name);
       if (mine(record)) {
         departures.judge(machine, record, silences.listeningSince());
       }
     }
-    silences.judge(machines.values(), now);
+    silences.judge(machines.all(), now);
   }
 
   /** Finds a new owner for a machine whose owner has ended, if that one is late. */
@@ -379,16 +370,10 @@
 
   /** What the others were last told of each machine: one that starts anew needs all of it. */
   public List<View> told() {
-    List<View> views = new ArrayList<>();
-    for (OwnedMachine machine : machines.values()) {
-      if (machine.published != null) {
-        views.add(machine.published);
-      }
-    }
-    return views;
+    return machines.told();
   }
 
   public Collection<String> owned() {
-    return List.copyOf(machines.keySet());
+    return machines.names();
   }
 }
--- a/src/test/java/io/tansystack/workers/ProofsTest.java
+++ b/src/test/java/io/tansystack/workers/ProofsTest.java
@@ -76,6 +76,7 @@
     Proofs proofs = Proofs.collect("wk-1", RECORD, m -> view, m -> machine, MachineRecord::version, 10);
     assertEquals(over, proofs.over().size());
     assertEquals(conditions, proofs.conditions().size());
+    assertEquals(over, proofs.grounds().stream().mapToInt(ground -> ground.tasks().size()).sum());
     conditions(proofs);
   }
 
