What a machine is held by is known from the first moment

Cause: OwnedMachine learned the revision of the record by which it is held at the first look at it, up to a tick of a second after it came to be this controller's (WorkerDesk.timeAll makes all of them at a start). A record that changed within that second, to another owner and back in one batch, passed for the first one, and a former owner's time was counted from before the change.

Fix: the revision is part of how the object is made, there is no first look that differs from the others. The row "changed 1" of OwnedMachineTest fails without it (17 s for 18).

--- a/src/main/java/io/tansystack/workers/OwnedMachine.java
+++ b/src/main/java/io/tansystack/workers/OwnedMachine.java
@@ -65,7 +65,8 @@
    */
   long goneVersion = -1;
 
-  private long heldBy;
+  /** The revision of the record by which it is held. */
+  private long heldSince;
 
   /** Whether its last report was refused since cancelled work on it can't be stopped. */
   boolean leftToItsLease;
@@ -79,10 +80,15 @@
   View published;
   Duration publishedAt = Duration.ZERO;
 
-  /** @param formerUntil the latest moment at which a former owner can answer its worker */
-  OwnedMachine(String name, MachineHistory history, Duration now, Duration formerUntil) {
+  /**
+   * @param heldSince the revision of the record by which it is this controller's
+   * @param formerUntil the latest moment at which a former owner can answer its worker
+   */
+  OwnedMachine(
+      String name, MachineHistory history, Duration now, long heldSince, Duration formerUntil) {
     this.name = name;
     this.history = history;
+    this.heldSince = heldSince;
     this.answeredAt = now;
     this.formerOwnerUntil = formerUntil;
     this.forgetAt = now.plus(Orders.FORGET_WAIT);
@@ -92,11 +98,11 @@
    * It is held by the record of this revision. Where that has changed, somebody else may have held it in
    * between, unseen where both changes came at once, and have answered its worker.
    */
-  void heldBy(long revision, Duration formerUntil) {
-    if (heldBy != 0 && heldBy != revision) {
+  void heldSince(long revision, Duration formerUntil) {
+    if (heldSince != revision) {
+      heldSince = revision;
       formerOwnerUntil = formerUntil;
     }
-    heldBy = revision;
   }
 
   /**
--- a/src/main/java/io/tansystack/workers/OwnedMachines.java
+++ b/src/main/java/io/tansystack/workers/OwnedMachines.java
@@ -6,6 +6,7 @@
 import io.tansystack.http.Loop;
 import io.tansystack.schedule.MachineHistory;
 import io.tansystack.wire.MachineType;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -28,6 +29,7 @@
   private final Loop loop;
   private final World world;
   private final OwnLease lease;
+  private final String label;
   private final Function<String, MachineType> types;
   private final Function<String, View> views;
   private final Map<String, OwnedMachine> machines = new LinkedHashMap<>();
@@ -39,11 +41,13 @@
       Loop loop,
       World world,
       OwnLease lease,
+      String label,
       Function<String, MachineType> types,
       Function<String, View> views) {
     this.loop = loop;
     this.world = world;
     this.lease = lease;
+    this.label = label;
     this.types = types;
     this.views = views;
   }
@@ -67,7 +71,25 @@
       history.inherit(old.images(), old.fetchGbPerS());
     }
     acquired.add(record.name());
-    return new OwnedMachine(record.name(), history, loop.now(), loop.now().plus(lease.life()));
+    Duration now = loop.now();
+    return new OwnedMachine(record.name(), history, now, heldSince(record), formerUntil(now));
+  }
+
+  /** The record, which is this controller's, may be a later one than the machine was held by. */
+  void observe(OwnedMachine machine, MachineRecord record, Duration now) {
+    machine.heldSince(heldSince(record), formerUntil(now));
+  }
+
+  /** By which record it is this controller's: that of its own registration, or one that names it an heir. */
+  private long heldSince(MachineRecord record) {
+    return record.claimant().equals(label)
+        ? world.controllers().get(label).version()
+        : record.since();
+  }
+
+  /** A former owner whose copy of the records ended just now may act until then. */
+  private Duration formerUntil(Duration now) {
+    return now.plus(lease.life());
   }
 
   void remove(String name) {
--- a/src/main/java/io/tansystack/workers/WorkerDesk.java
+++ b/src/main/java/io/tansystack/workers/WorkerDesk.java
@@ -91,7 +91,7 @@
     this.lease = lease;
     this.label = label;
     this.boot = boot;
-    this.machines = new OwnedMachines(loop, world, lease, types, views);
+    this.machines = new OwnedMachines(loop, world, lease, label, types, views);
     this.silences = new Silences(loop.now());
     this.claims =
         new Claims(
@@ -325,12 +325,7 @@
       return;
     }
     Duration now = loop.now();
-    // By which record it is this controller's: that of its own start, or one that names it an heir.
-    machine.heldBy(
-        record.claimant().equals(label)
-            ? world.controllers().get(label).version()
-            : record.since(),
-        now.plus(lease.life()));
+    machines.observe(machine, record, now);
     Report latest = machine.latest;
     long token = world.token(record);
     if (latest != null && latest.token() >= token) {
--- a/src/test/java/io/tansystack/workers/OwnedMachineTest.java
+++ b/src/test/java/io/tansystack/workers/OwnedMachineTest.java
@@ -47,7 +47,7 @@
           """)
   void copiesRenewNothingAndWhoDoesNotHearIsTold(String reports, int from, boolean unhearing) {
     Duration now = Duration.ofSeconds(1000);
-    OwnedMachine machine = new OwnedMachine("n-1", new MachineHistory(50), now, now);
+    OwnedMachine machine = new OwnedMachine("n-1", new MachineHistory(50), now, TOKEN, now);
     Duration answered = now;
     int at = 0;
     for (String text : reports.split(",")) {
@@ -73,6 +73,7 @@
       textBlock =
           """
           none 0                            | 17
+          changed 1                         | 18
           answered 3                        | 17
           shown 3                           | 3
           answered 3, shown 5               | 5
@@ -85,9 +86,8 @@
           """)
   void aLeaseCountsFromAFormerOwnersAnswersUntilTheTokenIsShown(String events, int lastAnswerS) {
     Duration life = Duration.ofSeconds(17);
-    OwnedMachine machine = new OwnedMachine("n-1", new MachineHistory(50), Duration.ZERO, life);
+    OwnedMachine machine = new OwnedMachine("n-1", new MachineHistory(50), Duration.ZERO, TOKEN, life);
     long revision = TOKEN;
-    machine.heldBy(revision, life);
     int sequence = 0;
     for (String event : events.split(", ")) {
       String[] parts = event.split(" ");
@@ -99,7 +99,7 @@
           machine.take(report);
         }
         case "shown" -> machine.tokenShown(now);
-        case "changed" -> machine.heldBy(++revision, now.plus(life));
+        case "changed" -> machine.heldSince(++revision, now.plus(life));
         default -> assertEquals("none", parts[0]);
       }
     }
