Drawn cuts of a zone, with what else may meet them

ZoneCutTest walks one shape of the incident. The new test draws the others: three to seven controllers, all of them away before the cut for longer than a lease, one that ends in it, commands and copies of reports that come late, a second cut, three pairs of lease_s and cancel_s.

--- a/src/test/java/io/tansystack/sim/ZoneCutTest.java
+++ b/src/test/java/io/tansystack/sim/ZoneCutTest.java
@@ -19,6 +19,10 @@
 class ZoneCutTest extends Meeting {
   private static final int JOBS = 24;
   private static final int CANCELLED = 6;
+
+  /** Values of {@code lease_s} and {@code cancel_s} that belong together. */
+  private static final int[][] LEASES_AND_CANCELS = {{18, 43}, {36, 61}, {30, 55}};
+
   private static final Duration LONG_RUN = Duration.ofSeconds(100);
   private static final Duration SHORT_RUN = Duration.ofSeconds(2);
   private static final Duration SHORT_JOBS_EVERY = Duration.ofSeconds(4);
@@ -55,11 +59,7 @@
   @MethodSource("cuts")
   void workOnMachinesWithCancelledJobsStartsNowhereElseWhileTheirLeasesRun(
       Duration cut, int lease, int cancel) throws Exception {
-    settings =
-        settings
-            .replace("cpus_max = 60.0", "cpus_max = 0.0")
-            .replace("lease_s = 36.0", "lease_s = " + lease + ".0")
-            .replace("cancel_s = 61.0", "cancel_s = " + cancel + ".0");
+    times(lease, cancel);
     random = new Random(cut.toMillis());
     zones = List.of("a", "b");
     controllersInAllZones = true;
@@ -82,4 +82,62 @@
     long cancelled = users().jobs.values().stream().filter(told -> told.cancelled != null).count();
     assertEquals(CANCELLED, cancelled, "confirmed cancellations");
   }
+
+  /**
+   * The same with what else may meet a cut, drawn: more controllers, all of them away before it for longer than
+   * a lease, one outside that ends in it, commands and copies of reports that come late, a second cut.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void drawnCutsWithCancellationsBreakNoRule(long seed) throws Exception {
+    Random draw = new Random(seed);
+    int[] times = LEASES_AND_CANCELS[draw.nextInt(LEASES_AND_CANCELS.length)];
+    times(times[0], times[1]);
+    random = new Random(seed);
+    zones = List.of("a", "b");
+    controllersInAllZones = true;
+    full.add("a");
+    start(3 + draw.nextInt(5), 32);
+    work(JOBS, 2);
+    loop.runFor(Duration.ofSeconds(14));
+    if (draw.nextInt(4) == 0) {
+      strike("all end", 0, Duration.ofSeconds(times[0] + 2L));
+      loop.runFor(Duration.ofSeconds(times[0] + 20L));
+    }
+    full.clear();
+    full.add("b");
+    copies = draw.nextInt(3) == 0 ? 0.05 : 0;
+    cutZone = "b";
+    keepMachinesOutside();
+    for (int i = 0; i < JOBS; i++) {
+      if (draw.nextInt(3) == 0) {
+        String id = id(i);
+        loop.after(Duration.ofMillis(draw.nextInt(20_000)), () -> users().cancel(id, Users.ANY));
+      }
+    }
+    if (draw.nextInt(4) == 0) {
+      loop.after(Duration.ofMillis(draw.nextInt(times[0] * 1000)), () -> end(0, 500 + draw.nextInt(5000)));
+    }
+    // From when the first handover's bound may pass until the last lease that was answered inside has run out.
+    loop.runFor(Duration.ofMillis(times[0] * 1000L + 3000 + draw.nextInt(16_000)));
+    held = draw.nextInt(3) == 0 ? 0.5 : 0;
+    heldFor = Duration.ofSeconds(5);
+    cutZone = null;
+    loop.runFor(Duration.ofMillis(2000 + draw.nextInt(10_000)));
+    if (draw.nextInt(3) == 0) {
+      cutZone = "b";
+      loop.runFor(Duration.ofMillis(draw.nextInt(60_000)));
+      cutZone = null;
+    }
+    loop.runFor(Duration.ofSeconds(15));
+    assertEquals(Set.of(), users().judge().broken);
+  }
+
+  private void times(int lease, int cancel) {
+    settings =
+        settings
+            .replace("cpus_max = 60.0", "cpus_max = 0.0")
+            .replace("lease_s = 36.0", "lease_s = " + lease + ".0")
+            .replace("cancel_s = 61.0", "cancel_s = " + cancel + ".0");
+  }
 }
