A departure that was not written down has its line too

The removal of a machine's record that was refused, conflicted or had no answer left no trace at the level that production runs with.

--- a/src/main/java/io/tansystack/workers/Departures.java
+++ b/src/main/java/io/tansystack/workers/Departures.java
@@ -85,6 +85,8 @@
                 "gone machine={} because=its lease has run out unanswered {}",
                 machine.name,
                 grounds);
+          } else if (!doubtful) {
+            log.info("not known to be gone machine={} result={} {}", machine.name, result, grounds);
           }
         });
   }
