--- a/review/standins/review/Stage.java
+++ b/review/standins/review/Stage.java
@@ -45,6 +45,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.xnio.OptionMap;
@@ -82,6 +83,10 @@
     public int capacity = 52;
 
     public List<MachineType> types = new ArrayList<>();
+    /** GPUs that each team is guaranteed, and may use at most. */
+    public double teamGpus = 32;
+
+    public double teamGpusMax = 120;
     public List<String> teams = new ArrayList<>(List.of("dispatch", "wagonops"));
   }
 
@@ -166,10 +171,24 @@
     Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
   }
 
+  /**
+   * A free address that stays free until it is used: its port is below those that the system gives
+   * to outgoing connections, and nobody else tries the same ones.
+   */
   private static InetSocketAddress freeAddress(List<ServerSocket> reserved) throws IOException {
-    ServerSocket socket = new ServerSocket(0, 1, new InetSocketAddress("127.0.0.1", 0).getAddress());
-    reserved.add(socket);
-    return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+    for (int tries = 0; tries < 1000; tries++) {
+      int port = 10_000 + ThreadLocalRandom.current().nextInt(20_000);
+      InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
+      ServerSocket socket = new ServerSocket();
+      try {
+        socket.bind(address, 1);
+        reserved.add(socket);
+        return address;
+      } catch (IOException e) {
+        socket.close(); // In use.
+      }
+    }
+    throw new IOException("no free port");
   }
 
   public double seconds() {
@@ -271,7 +290,8 @@
     text.append("zones = [\"" + String.join("\", \"", config.zones) + "\"]\nskew_ms = 250.0\n");
     for (String team : config.teams) {
       text.append("[[cluster.teams]]\nname = \"" + team + "\"\n");
-      text.append("cpus = 0.0\ncpus_max = 0.0\ngpus = 32.0\ngpus_max = 120.0\n");
+      text.append("cpus = 0.0\ncpus_max = 0.0\ngpus = " + config.teamGpus + "\n");
+      text.append("gpus_max = " + config.teamGpusMax + "\n");
     }
     text.append("[cluster.workers]\nreport_s = " + config.reportS + "\nlease_s = " + config.leaseS);
     text.append("\ngang_wait_s = 40.0\ngang_peer_s = 6.0\ncancel_s = " + config.cancelS + "\n");
@@ -348,6 +368,9 @@
 
   // The cloud.
 
+  /** Names of types of which the cloud has no machine to give now. */
+  public final Set<String> unavailable = ConcurrentHashMap.newKeySet();
+
   private void serveCloud(String method, String path, byte[] body, Reply reply) {
     ObjectNode answer = Cbor.map();
     int status = 200;
@@ -382,7 +405,8 @@
     for (MachineType offered : config.types) {
       type = offered.name().equals(request.path("Fleet").asText()) ? offered : type;
     }
-    for (int i = 0; i < Math.min(50, request.path("HowMany").asInt()); i++) {
+    boolean offered = type != null && !unavailable.contains(type.name());
+    for (int i = 0; offered && i < Math.min(50, request.path("HowMany").asInt()); i++) {
       if (machines.values().stream().filter(m -> !m.gone).count() < config.capacity) {
         boolean spot = request.path("Loaners").asBoolean();
         Machine machine = new Machine(type, request.path("Yard").asText(), spot);
@@ -390,10 +414,11 @@
       }
     }
     if (names.isEmpty()) {
+      note("no capacity: %s", request);
       answer.put("error", "no capacity");
       return 503;
     }
-    note("rented %d machines from %s on", names.size(), names.get(0).asText());
+    note("rented %d %s from %s on", names.size(), type.name(), names.get(0).asText());
     rentals.put(name, result);
     return 200;
   }
