--- a/review/standins/review/Sockets.java
+++ b/review/standins/review/Sockets.java
@@ -23,9 +23,15 @@
   private static final int JOBS_PER_WAVE = 13;
   private static final int TASKS_PER_JOB = 30;
   private static final int MAX_WAVES = 7;
-  private static final double WAVES_END_S = 34;
+  private static final double WAVES_END_S = 38;
   private static final double UNANSWERED_S = 75;
 
+  /** The later of the end of the last wave and of the last answer. */
+  private static double since;
+
+  private static double askedAt;
+  private static int asked;
+
   public static void main(String[] args) throws Exception {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     Stage.Config config = new Stage.Config();
@@ -54,7 +60,7 @@
       for (int wave = 0; wave < MAX_WAVES && stage.seconds() < WAVES_END_S; wave++) {
         int before = started.get();
         double at = stage.seconds();
-        for (int i = 0; i < JOBS_PER_WAVE; i++) {
+        for (int i = 0; i < JOBS_PER_WAVE && stage.seconds() < WAVES_END_S; i++) {
           ObjectNode job =
               Stage.job(
                   String.format("wk-%06d", number++), "sweep", TASKS_PER_JOB, 8, 4,
@@ -67,8 +73,12 @@
           }
         }
         int wanted = JOBS_PER_WAVE * TASKS_PER_JOB;
-        while (started.get() - before < wanted * 9 / 10 && stage.seconds() - at < 7) {
+        while (started.get() - before < wanted * 9 / 10
+            && stage.seconds() < Math.min(at + 7, WAVES_END_S)) {
           Thread.sleep(100);
+          if (wave > 0 && stage.seconds() - askedAt > 1) {
+            ask(stage);
+          }
         }
         stage.note(
             "wave %d: %d tasks started after %.1f s, %d machines, open files %s",
@@ -77,37 +87,48 @@
         if (exhausted(stage)) {
           break;
         }
-        if (trouble && stage.seconds() < WAVES_END_S) {
+        if (trouble && stage.seconds() < WAVES_END_S - 3) {
           stage.onLoop(
               () -> {
                 stage.present().forEach(Stage.Machine::vanish);
                 return null;
               });
           stage.note("all machines of the wave were taken without notice");
+          since = stage.seconds();
         }
       }
-      double since = stage.seconds();
-      int asked = 0;
+      int machines = stage.onLoop(() -> stage.present().size());
+      stage.note("the waves are over: %d machines, open files %s", machines, openFiles(stage));
+      if (!trouble) {
+        since = stage.seconds();
+      }
       while (stage.seconds() - since < UNANSWERED_S + 1) {
-        int node = asked++ % config.controllers;
-        Stage.Answer answer = stage.poll(node, "wk-000001");
-        stage.note("poll wk-000001 at %s: %s", stage.label(node), answer);
-        if (answer.status == 200 && asked >= 9) {
-          stage.note("held: answered %.1f s after the last wave; open files %s",
-              stage.seconds() - since, openFiles(stage));
+        boolean answered = ask(stage);
+        if (answered && (!trouble || stage.seconds() > WAVES_END_S + 4)) {
+          stage.note("held: answered; open files %s", openFiles(stage));
           System.exit(0);
         }
-        if (asked % 10 == 0) {
-          int machines = stage.onLoop(() -> stage.present().size());
-          stage.note("%d machines, open files %s", machines, openFiles(stage));
-        }
         Thread.sleep(1000);
       }
+      machines = stage.onLoop(() -> stage.present().size());
+      stage.note("%d machines, open files %s", machines, openFiles(stage));
       stage.note("broken: no question about wk-000001 was answered for %.0f s", UNANSWERED_S);
       System.exit(1);
     }
   }
 
+  /** Asks the next node; true if it answers. The time without an answer begins anew then. */
+  private static boolean ask(Stage stage) {
+    int node = asked++ % stage.config.controllers;
+    askedAt = stage.seconds();
+    Stage.Answer answer = stage.poll(node, "wk-000001");
+    stage.note("poll wk-000001 at %s: %s", stage.label(node), answer);
+    if (answer.status == 200) {
+      since = stage.seconds();
+    }
+    return answer.status == 200;
+  }
+
   /** Whether every controller has reached its limit. */
   private static boolean exhausted(Stage stage) throws IOException {
     for (int i = 0; i < stage.config.controllers; i++) {
--- a/review/standins/review/Stage.java
+++ b/review/standins/review/Stage.java
@@ -70,6 +70,12 @@
     public double writeRps = 20;
     public double valueKb = 16;
     public int txnOps = 16;
+
+    /** The limits that the state service will have, as {@code state.next}; none if 0. */
+    public int nextTxnOps;
+
+    public double nextValueKb;
+    public double nextWriteRps;
     public double cloudRps = 2;
     public double listLagS = 3;
     public double bootS = 2;
@@ -113,6 +119,7 @@
   private final Environment environment = new Environment();
   private final EmulatedGangs gangs;
   private EmulatedStore store;
+  private boolean lowered;
   private int machineCount;
 
   /** Called on the event loop for each event of a task: event, machine, task. */
@@ -297,6 +304,11 @@
     text.append("\ngang_wait_s = 40.0\ngang_peer_s = 6.0\ncancel_s = " + config.cancelS + "\n");
     text.append("[cluster.state]\nrps = " + config.rps + "\nwrite_rps = " + config.writeRps);
     text.append("\nvalue_kb = " + config.valueKb + "\ntxn_ops = " + config.txnOps + "\n");
+    if (config.nextTxnOps > 0) {
+      text.append("[cluster.state.next]\nrps = " + config.rps);
+      text.append("\nwrite_rps = " + config.nextWriteRps + "\nvalue_kb = " + config.nextValueKb);
+      text.append("\ntxn_ops = " + config.nextTxnOps + "\n");
+    }
     text.append("[cluster.cloud]\nrps = " + config.cloudRps);
     text.append("\nlist_lag_s = " + config.listLagS + "\n");
     text.append("[cluster.machine_limits]\ncores = 1.0\nmemory_mb = " + config.memoryMb);
@@ -347,23 +359,43 @@
   private void serveState(String method, String path, byte[] body, Reply reply) {
     ObjectNode map = decode(body);
     if (path.equals("/commit") && !withinLimits(map)) {
-      note("state service: 400 for a transaction beyond the limits");
       reply.send(400, Cbor.encode(Cbor.map().put("error", "too large")));
       return;
     }
     store.handle(method, path, map, (status, answer) -> reply.send(status, Cbor.encode(answer)));
   }
 
+  /** Lowers the state service's limits to those of {@code state.next}. */
+  public void lowerLimits() throws Exception {
+    onLoop(
+        () -> {
+          lowered = true;
+          store.limits(new StoreLimits(config.rps, config.nextWriteRps, 1000));
+          return null;
+        });
+    note("the state service has its new limits");
+  }
+
   private boolean withinLimits(ObjectNode transaction) {
+    int txnOps = lowered ? config.nextTxnOps : config.txnOps;
+    double valueBytes = (lowered ? config.nextValueKb : config.valueKb) * 1024;
     JsonNode writes = transaction.path("Then");
     boolean ok =
-        writes.size() <= config.txnOps
-            && transaction.path("When").size() <= 4 * config.txnOps
+        writes.size() <= txnOps
+            && transaction.path("When").size() <= 4 * txnOps
             && Cbor.jsonSize(transaction) <= 64 << 10;
+    int largest = 0;
     for (JsonNode write : writes) {
-      ok &= !write.has("Value") || Cbor.jsonSize(write.get("Value")) <= config.valueKb * 1024;
+      largest = Math.max(largest, write.has("Value") ? Cbor.jsonSize(write.get("Value")) : 0);
     }
-    return ok;
+    if (!ok || largest > valueBytes) {
+      String first = writes.isEmpty() ? "" : writes.get(0).path("Write").asText();
+      note(
+          "state service: 400, too large: %d changes, %d conditions, largest value %d, first %s",
+          writes.size(), transaction.path("When").size(), largest, first);
+      return false;
+    }
+    return true;
   }
 
   // The cloud.
