--- a/review/standins/review/Stage.java
+++ b/review/standins/review/Stage.java
@@ -130,6 +130,11 @@
   public volatile TaskListener taskListener = (event, machine, task) -> {};
 
   public Stage(Config config, Path root, Path folder, Path recordFile) throws Exception {
+    Thread.setDefaultUncaughtExceptionHandler(
+        (thread, e) -> {
+          e.printStackTrace();
+          System.exit(2); // The case could not run.
+        });
     this.config = config;
     this.folder = folder;
     this.record = new PrintWriter(Files.newBufferedWriter(recordFile), true);
@@ -180,11 +185,12 @@
 
   /**
    * A free address that stays free until it is used: its port is below those that the system gives
-   * to outgoing connections, and nobody else tries the same ones.
+   * to outgoing connections, and scripts that run at the same time seldom share a range.
    */
   private static InetSocketAddress freeAddress(List<ServerSocket> reserved) throws IOException {
     for (int tries = 0; tries < 1000; tries++) {
-      int port = 10_000 + ThreadLocalRandom.current().nextInt(20_000);
+      int range = (int) (ProcessHandle.current().pid() % 10);
+      int port = 10_000 + range * 2_000 + ThreadLocalRandom.current().nextInt(2_000);
       InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
       ServerSocket socket = new ServerSocket();
       try {
