Every request is answered once and gives back what it holds

Cause: UserApi.openRequests was given back only by the answer, and the answer only came on the way without a fault. An exception in a later task of the event loop (here: a record that can't be encoded, when its batch is written) was logged, and the transaction's callback was never called. Any exception between acceptance and answer had this effect.

Change: OpenRequests answers each request once and then takes it off the count, with 500 if its processing throws and with 503 after the user's 5 s; ServiceHandler does so for every address (500, or 503 after 10 s). StoreClient and UndertowHttpClient call each callback exactly once, also if nothing can be encoded or sent. One failing callback no longer keeps those behind it from being called: the queues of JobLookup, SubmissionWriter, StoreClient, ClaimBatcher, MachineClaims and CommandThrottle, and the machines of a tick. Rejected batches are written one by one. Watcher's stream of changes ended for ever when its listener failed; everything is read again, and does not count as up to date before. Periodic tasks schedule their next run first. The summary line tells open and expired requests.

--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -261,7 +261,7 @@
     loop.after(SUMMARY_INTERVAL, this::logSummary);
     log.info(
         "summary jobs={} machines={} idle={} closed={} unmet={} owned={} valid={}"
-            + " plans={} stalls={} {} count/p50/p99/max{}",
+            + " plans={} stalls={} requests={} expired={} {} count/p50/p99/max{}",
         clusterState.jobs().size(),
         clusterState.machines().size(),
         clusterState.machines().keySet().stream()
@@ -273,6 +273,8 @@
         lease.valid(),
         slotManager.isPlanner(),
         stallDetector.stallCount(),
+        userApi.openRequestCount(),
+        userApi.expiredRequestCount(),
         lease.describe(),
         latencies.summaryAndReset());
   }
--- a/src/main/java/io/tansystack/cluster/ControllerLease.java
+++ b/src/main/java/io/tansystack/cluster/ControllerLease.java
@@ -109,12 +109,12 @@
       store.grantLease(
           recordTtl,
           granted -> {
+            loop.after(granted == null ? Duration.ofMillis(300) : next, this::tick);
             if (granted != null) {
               leaseId = granted;
               renewedAt = sentAt;
               register();
             }
-            loop.after(granted == null ? Duration.ofMillis(300) : next, this::tick);
           });
       return;
     }
@@ -122,6 +122,7 @@
     store.renewLease(
         leaseId,
         status -> {
+          loop.after(status == 200 ? next : Duration.ofMillis(300), this::tick);
           if (status == 200) {
             renewedAt = sentAt;
             if (!registered) {
@@ -132,7 +133,6 @@
             leaseId = 0;
             registered = false;
           }
-          loop.after(status == 200 ? next : Duration.ofMillis(300), this::tick);
         });
   }
 
--- a/src/main/java/io/tansystack/cluster/SlotManager.java
+++ b/src/main/java/io/tansystack/cluster/SlotManager.java
@@ -86,8 +86,8 @@
   }
 
   public void start() {
-    tick();
     loop.after(TICK_INTERVAL, this::start);
+    tick();
   }
 
   public boolean holds(int slot) {
--- a/src/main/java/io/tansystack/fleet/MachineRecordWriter.java
+++ b/src/main/java/io/tansystack/fleet/MachineRecordWriter.java
@@ -1,5 +1,6 @@
 package io.tansystack.fleet;
 
+import io.tansystack.http.Callbacks;
 import io.tansystack.store.StoreClient.CommitCallback;
 import io.tansystack.store.StoreClient.CommitResult;
 import io.tansystack.store.StoreClient;
@@ -57,7 +58,7 @@
     List<PendingWrite> dropped = List.copyOf(pending.values());
     pending.clear();
     sendAlone.clear();
-    dropped.forEach(change -> change.callback.done(CommitResult.REFUSED, 0));
+    Callbacks.forEach(dropped, change -> change.callback.done(CommitResult.REFUSED, 0));
   }
 
   /** Sends as many queued changes as the write limit leaves for them. */
@@ -107,7 +108,7 @@
           } else if (result == CommitResult.CONFLICT || result == CommitResult.MALFORMED) {
             sendAlone.addAll(batch);
           }
-          callbacks.forEach(callback -> callback.done(result, revision));
+          Callbacks.forEach(callbacks, callback -> callback.done(result, revision));
         });
   }
 }
--- a/src/main/java/io/tansystack/fleet/MachineTypeCatalog.java
+++ b/src/main/java/io/tansystack/fleet/MachineTypeCatalog.java
@@ -58,11 +58,11 @@
         null,
         (status, map) -> {
           boolean ok = status == 200 && load(map);
+          loop.after(ok ? REFRESH_INTERVAL : Duration.ofSeconds(2), this::start);
+          loadedFromCloud |= ok;
           if (ok && !map.equals(clusterState.machineTypes())) {
             persist(map);
           }
-          loadedFromCloud |= ok;
-          loop.after(ok ? REFRESH_INTERVAL : Duration.ofSeconds(2), this::start);
         });
   }
 
--- a/src/main/java/io/tansystack/http/AddressServer.java
+++ b/src/main/java/io/tansystack/http/AddressServer.java
@@ -6,6 +6,7 @@
 import io.undertow.server.protocol.http.HttpOpenListener;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import org.xnio.ChannelListeners;
@@ -26,14 +27,22 @@
   private final XnioWorker worker;
   private final ByteBufferPool buffers;
   private final int maxBodyBytes;
+  private final Duration replyTimeout;
   private final Map<InetSocketAddress, AcceptingChannel<StreamConnection>> channels =
       new HashMap<>();
 
   /** @param maxBodyBytes longer request bodies are rejected unread */
   public AddressServer(XnioWorker worker, ByteBufferPool buffers, int maxBodyBytes) {
+    this(worker, buffers, maxBodyBytes, ServiceHandler.REPLY_TIMEOUT);
+  }
+
+  /** @param replyTimeout after this time a request without a reply gets 503 */
+  AddressServer(
+      XnioWorker worker, ByteBufferPool buffers, int maxBodyBytes, Duration replyTimeout) {
     this.worker = worker;
     this.buffers = buffers;
     this.maxBodyBytes = maxBodyBytes;
+    this.replyTimeout = replyTimeout;
   }
 
   /** Serves the address until {@link #close} is called for it. */
@@ -44,7 +53,7 @@
             .set(UndertowOptions.NO_REQUEST_TIMEOUT, -1)
             .getMap();
     HttpOpenListener listener = new HttpOpenListener(buffers, undertowOptions);
-    listener.setRootHandler(new ServiceHandler(service, maxBodyBytes, true));
+    listener.setRootHandler(new ServiceHandler(service, maxBodyBytes, true, replyTimeout));
     OptionMap socketOptions =
         OptionMap.builder()
             .set(Options.TCP_NODELAY, true)
--- a/src/main/java/io/tansystack/http/HttpClient.java
+++ b/src/main/java/io/tansystack/http/HttpClient.java
@@ -5,7 +5,7 @@
 
 /** Sends HTTP requests and reports their results on the event loop. Tests replace it by fakes. */
 public interface HttpClient {
-  /** Receives the result of a request; exactly one of its methods is called. */
+  /** Receives the result of a request; exactly one of its methods is called, and only once. */
   interface ResponseHandler {
     /** A complete response has arrived. */
     void onResponse(int status, byte[] body);
@@ -21,7 +21,8 @@
   }
 
   /**
-   * Sends a request.
+   * Sends a request. This never throws an exception: a request that can't be sent is reported to
+   * the handler like one that was refused.
    *
    * @param body null for a request without a body
    * @param timeout a request without a response within this time counts as having none
--- a/src/main/java/io/tansystack/http/ServiceHandler.java
+++ b/src/main/java/io/tansystack/http/ServiceHandler.java
@@ -6,26 +6,45 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.XnioExecutor;
 
-/** Passes complete requests to a service on the event loop's thread and sends its responses. */
+/**
+ * Passes complete requests to a service on the event loop's thread and sends its responses. Every
+ * request is answered once: with 500 if the service throws an exception, and with 503 if it has not
+ * replied in time.
+ */
 final class ServiceHandler implements HttpHandler {
+  /** Longer than any client of the protocol waits for a response. */
+  static final Duration REPLY_TIMEOUT = Duration.ofSeconds(10);
+
+  private static final Logger log = LoggerFactory.getLogger(ServiceHandler.class);
+  private static final byte[] NO_BODY = new byte[0];
+
   private final Service service;
   private final int maxBodyBytes;
   private final boolean pathIncludesQuery;
+  private final Duration replyTimeout;
 
   /** For a service whose requests have no query string. */
   ServiceHandler(Service service, int maxBodyBytes) {
-    this(service, maxBodyBytes, false);
+    this(service, maxBodyBytes, false, REPLY_TIMEOUT);
   }
 
   /**
    * @param maxBodyBytes longer request bodies are rejected unread
    * @param pathIncludesQuery whether the query string is passed to the service as part of the path
+   * @param replyTimeout after this time a request without a reply gets 503
    */
-  ServiceHandler(Service service, int maxBodyBytes, boolean pathIncludesQuery) {
+  ServiceHandler(
+      Service service, int maxBodyBytes, boolean pathIncludesQuery, Duration replyTimeout) {
     this.service = service;
     this.maxBodyBytes = maxBodyBytes;
     this.pathIncludesQuery = pathIncludesQuery;
+    this.replyTimeout = replyTimeout;
   }
 
   @Override
@@ -42,8 +61,14 @@
     ExchangeReply reply = new ExchangeReply(exchange);
     String method = exchange.getRequestMethod().toString();
     String path = pathIncludesQuery ? pathWithQuery(exchange) : exchange.getRequestPath();
-    XnioEventLoop.runLoggingErrors(() -> service.handle(method, path, body, reply));
+    try {
+      service.handle(method, path, body, reply);
+    } catch (RuntimeException e) {
+      log.error("{} {} failed", method, path, e);
+      reply.send(500, NO_BODY);
+    }
     if (!reply.sent) {
+      reply.startTimeout(replyTimeout);
       exchange.dispatch(); // Keeps the exchange open until the response is sent later.
     }
   }
@@ -59,25 +84,47 @@
    */
   private static void rejectBody(HttpServerExchange exchange) {
     exchange.setStatusCode(400);
+    closeAfterResponse(exchange);
+    exchange.endExchange();
+  }
+
+  private static void closeAfterResponse(HttpServerExchange exchange) {
     exchange.setPersistent(false);
     exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-    exchange.endExchange();
   }
 
   private static final class ExchangeReply implements Reply {
     private final HttpServerExchange exchange;
     private boolean sent;
+    private XnioExecutor.Key timeout;
 
     ExchangeReply(HttpServerExchange exchange) {
       this.exchange = exchange;
     }
 
+    /** Makes sure that the request is answered; its client has probably given up by then. */
+    void startTimeout(Duration delay) {
+      timeout =
+          exchange
+              .getIoThread()
+              .executeAfter(this::onTimeout, delay.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    private void onTimeout() {
+      log.warn("{} {} was not answered", exchange.getRequestMethod(), exchange.getRequestPath());
+      closeAfterResponse(exchange);
+      send(503, NO_BODY);
+    }
+
     @Override
     public void send(int status, byte[] body, int retryAfterS) {
       if (sent) {
         return;
       }
       sent = true;
+      if (timeout != null) {
+        timeout.remove();
+      }
       exchange.setStatusCode(status);
       exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/cbor");
       if (retryAfterS > 0) {
--- a/src/main/java/io/tansystack/http/UndertowHttpClient.java
+++ b/src/main/java/io/tansystack/http/UndertowHttpClient.java
@@ -19,6 +19,8 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -33,6 +35,7 @@
  * can't be taken for that of another request.
  */
 public final class UndertowHttpClient implements HttpClient {
+  private static final Logger log = LoggerFactory.getLogger(UndertowHttpClient.class);
   private static final int MAX_WAITING_CALLS = 256;
   private static final int MAX_ABANDONED_CONNECTS = 4;
   private static final int MAX_RESPONSE_BYTES = 64 << 20;
@@ -109,6 +112,18 @@
     }
     Call call = new Call(address, pool, request, body, handler);
     call.timer = loop.after(timeout, () -> fail(call, false));
+    try {
+      sendOrWait(call);
+    } catch (RuntimeException e) {
+      log.error("request {} {} to {} can't be sent", method, path, address, e);
+      boolean nothingSent = call.connection == null;
+      loop.execute(() -> fail(call, nothingSent));
+    }
+  }
+
+  /** Sends the request on an idle connection, or lets it wait for a new one. */
+  private void sendOrWait(Call call) {
+    Pool pool = call.pool;
     ClientConnection connection;
     while ((connection = pool.idle.pollLast()) != null) {
       if (connection.isOpen()) {
@@ -121,7 +136,7 @@
       return;
     }
     pool.waiting.add(call);
-    connectIfNeeded(address, pool);
+    connectIfNeeded(call.address, pool);
   }
 
   /** Opens a connection if calls wait for one and the limit per address allows it. */
@@ -213,7 +228,7 @@
       call.pool.abandonedConnects++;
     }
     IoUtils.safeClose(call.connection);
-    call.handler.onNoResponse(refused);
+    XnioEventLoop.runLoggingErrors(() -> call.handler.onNoResponse(refused));
   }
 
   private void send(Call call, ClientConnection connection) {
--- a/src/main/java/io/tansystack/jobs/JobLookup.java
+++ b/src/main/java/io/tansystack/jobs/JobLookup.java
@@ -2,6 +2,7 @@
 
 import io.tansystack.cluster.ClusterState.Job;
 import io.tansystack.cluster.ClusterState;
+import io.tansystack.http.Callbacks;
 import io.tansystack.http.EventLoop;
 import io.tansystack.records.JobRecord;
 import io.tansystack.store.StoreClient.ReadCallback;
@@ -11,6 +12,8 @@
 import io.tansystack.wire.ThrottledLogger;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Consumer;
 import org.slf4j.LoggerFactory;
 
@@ -52,6 +55,7 @@
   private final ClusterState clusterState;
   private final Runnable requestConfirmation;
   private final ArrayDeque<WaitingRequest> waiting = new ArrayDeque<>();
+  private boolean servingScheduled;
   private Duration upToDateAt;
 
   /**
@@ -71,9 +75,16 @@
     if (upToDateAt == null || at.compareTo(upToDateAt) > 0) {
       upToDateAt = at;
     }
-    while (!waiting.isEmpty() && waiting.peek().requestedAt.compareTo(at) <= 0) {
-      waiting.poll().callback.accept(true);
+    endWaiting(at, true);
+  }
+
+  /** Ends the waiting of the requests that arrived up to the given time. */
+  private void endWaiting(Duration requestedUpTo, boolean upToDate) {
+    List<WaitingRequest> ended = new ArrayList<>();
+    while (!waiting.isEmpty() && waiting.peek().requestedAt.compareTo(requestedUpTo) <= 0) {
+      ended.add(waiting.poll());
     }
+    Callbacks.forEach(ended, request -> request.callback.accept(upToDate));
   }
 
   /**
@@ -82,8 +93,18 @@
    */
   void whenUpToDate(Consumer<Boolean> callback) {
     waiting.add(new WaitingRequest(loop.now(), callback));
-    if (waiting.size() == 1) {
-      loop.after(CONFIRM_DELAY, this::serveWaiting);
+    scheduleServing(CONFIRM_DELAY);
+  }
+
+  private void scheduleServing(Duration delay) {
+    if (!servingScheduled) {
+      servingScheduled = true;
+      loop.after(
+          delay,
+          () -> {
+            servingScheduled = false;
+            serveWaiting();
+          });
     }
   }
 
@@ -93,20 +114,25 @@
    */
   private void serveWaiting() {
     Duration now = loop.now();
-    while (!waiting.isEmpty() && now.minus(waiting.peek().requestedAt).compareTo(MAX_WAIT) >= 0) {
-      waiting.poll().callback.accept(false);
-    }
-    if (!waiting.isEmpty()) {
-      Duration remaining = CONFIRM_DELAY.minus(now.minus(waiting.peek().requestedAt));
-      if (!remaining.isNegative() && !remaining.isZero()) {
-        loop.after(remaining, this::serveWaiting);
-        return;
+    try {
+      endWaiting(now.minus(MAX_WAIT), false);
+    } finally {
+      if (!waiting.isEmpty()) {
+        requestConfirmationIfDue(now);
       }
-      requestConfirmation.run();
-      loop.after(CONFIRM_DELAY, this::serveWaiting);
     }
   }
 
+  private void requestConfirmationIfDue(Duration now) {
+    Duration remaining = CONFIRM_DELAY.minus(now.minus(waiting.peek().requestedAt));
+    if (!remaining.isNegative() && !remaining.isZero()) {
+      scheduleServing(remaining);
+      return;
+    }
+    scheduleServing(CONFIRM_DELAY);
+    requestConfirmation.run();
+  }
+
   /**
    * Finds a job.
    *
--- a/src/main/java/io/tansystack/jobs/SubmissionWriter.java
+++ b/src/main/java/io/tansystack/jobs/SubmissionWriter.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.cluster.ClusterState;
+import io.tansystack.http.Callbacks;
 import io.tansystack.http.EventLoop;
 import io.tansystack.records.JobRecord;
 import io.tansystack.settings.PlatformSettings;
@@ -47,6 +48,9 @@
   /** Share of a value's maximum size for its entries; the rest is for the names around them. */
   private static final double MAX_FILL = 0.9;
 
+  /** More submissions than this are refused while these wait for write budget. */
+  private static final int MAX_PENDING = 2 * OpenRequests.MAX_OPEN;
+
   /** @param size the record's size in JSON, with a separator */
   private record PendingSubmission(JobRecord record, int size, Consumer<CommitResult> callback) {}
 
@@ -78,10 +82,14 @@
   }
 
   /**
-   * Accepts a job; the result is {@code CONFLICT} if it is known already. The caller limits how
-   * many submissions wait at the same time.
+   * Accepts a job; the result is {@code CONFLICT} if it is known already, and {@code REFUSED} if
+   * too many submissions wait.
    */
   void accept(JobRecord record, Consumer<CommitResult> callback) {
+    if (pending.size() >= MAX_PENDING) {
+      callback.accept(CommitResult.REFUSED);
+      return;
+    }
     pending.add(new PendingSubmission(record, Cbor.jsonSize(record.write()) + 1, callback));
     scheduleFlush(BATCH_DELAY);
   }
@@ -99,23 +107,34 @@
   }
 
   private void flush() {
-    while (!pending.isEmpty() && budget.tryAcquire(1, true, loop.now())) {
-      List<PendingSubmission> batch = new ArrayList<>();
-      int size = 0;
-      while (!pending.isEmpty()
-          && batch.size() < maxJobs
-          && (batch.isEmpty() || size + pending.peek().size <= maxSize)) {
-        size += pending.peek().size;
-        batch.add(pending.poll());
+    try {
+      while (!pending.isEmpty() && budget.tryAcquire(1, true, loop.now())) {
+        write(nextBatch());
       }
-      if (batch.size() == 1) {
-        writeIndividually(batch.get(0));
-      } else {
-        writeBatch(batch);
+    } finally {
+      if (!pending.isEmpty()) {
+        scheduleFlush(RETRY_DELAY);
       }
     }
-    if (!pending.isEmpty()) {
-      scheduleFlush(RETRY_DELAY);
+  }
+
+  private List<PendingSubmission> nextBatch() {
+    List<PendingSubmission> batch = new ArrayList<>();
+    int size = 0;
+    while (!pending.isEmpty()
+        && batch.size() < maxJobs
+        && (batch.isEmpty() || size + pending.peek().size <= maxSize)) {
+      size += pending.peek().size;
+      batch.add(pending.poll());
+    }
+    return batch;
+  }
+
+  private void write(List<PendingSubmission> batch) {
+    if (batch.size() == 1) {
+      writeIndividually(batch.get(0));
+    } else {
+      writeBatch(batch);
     }
   }
 
@@ -131,8 +150,9 @@
 
   /**
    * Accepts several jobs with one record. If one of them already has an individual record or an
-   * archived outcome, the whole transaction fails, and each job is then written individually. A job
-   * that is in another submission batch does not make it fail: the earlier batch counts.
+   * archived outcome, or can't be recorded, the whole transaction fails, and each job is then
+   * written individually. A job that is in another submission batch does not make it fail: the
+   * earlier batch counts.
    */
   private void writeBatch(List<PendingSubmission> batch) {
     String key = ClusterState.submissionBatchKey(incarnation + "-" + batchCounter++);
@@ -148,10 +168,10 @@
         List.of(new Write(key, ClusterState.submissionBatch(records), 0)),
         MAX_QUEUE_TIME,
         (result, revision) -> {
-          if (result == CommitResult.CONFLICT) {
-            batch.forEach(this::writeIndividually);
+          if (result == CommitResult.CONFLICT || result == CommitResult.MALFORMED) {
+            Callbacks.forEach(batch, this::writeIndividually);
           } else {
-            batch.forEach(submission -> submission.callback.accept(result));
+            Callbacks.forEach(batch, submission -> submission.callback.accept(result));
           }
         });
   }
--- a/src/main/java/io/tansystack/jobs/UserApi.java
+++ b/src/main/java/io/tansystack/jobs/UserApi.java
@@ -30,7 +30,6 @@
  */
 public final class UserApi {
   private static final Logger log = LoggerFactory.getLogger(UserApi.class);
-  private static final int MAX_OPEN_REQUESTS = 128;
   private static final int CANCEL_TRIES = 6;
 
   /** How long the write of a cancellation may wait for write budget. */
@@ -43,7 +42,7 @@
   private final BooleanSupplier storeResponsive;
   private final JobLookup lookup;
   private final SubmissionHandler submissions;
-  private int openRequests;
+  private final OpenRequests openRequests;
 
   /**
    * @param incarnation the process incarnation ID
@@ -65,6 +64,7 @@
     this.clusterState = clusterState;
     this.clock = clock;
     this.storeResponsive = storeResponsive;
+    this.openRequests = new OpenRequests(loop);
     this.lookup = new JobLookup(loop, store, clusterState, requestConfirmation);
     this.submissions =
         new SubmissionHandler(
@@ -86,23 +86,27 @@
       reply.send(503, Cbor.encode(Responses.error("the state service does not answer")), 1);
       return true;
     }
-    if (openRequests < MAX_OPEN_REQUESTS) {
+    if (!openRequests.isFull()) {
       return false;
     }
     reply.send(503, Cbor.encode(Responses.error("overloaded")), 2);
     return true;
   }
 
-  /** Counts a request as open until its answer is sent. */
-  private TrackedReply track(Reply reply) {
-    openRequests++;
-    return new TrackedReply(reply, () -> openRequests--);
+  /** The number of requests that are being processed. */
+  public int openRequestCount() {
+    return openRequests.count();
+  }
+
+  /** The number of requests so far that were answered only because their time was over. */
+  public long expiredRequestCount() {
+    return openRequests.expiredCount();
   }
 
   /** Serves {@code POST /v1/jobs}. */
   public void submit(byte[] body, Reply reply) {
     if (!rejectIfUnavailable(reply)) {
-      submissions.submit(body, track(reply));
+      openRequests.process("submission", reply, tracked -> submissions.submit(body, tracked));
     }
   }
 
@@ -124,25 +128,28 @@
     if (answerIfFinal(id, reply) || rejectIfUnavailable(reply)) {
       return;
     }
-    TrackedReply trackedReply = track(reply);
+    openRequests.process("poll", reply, tracked -> pollWhenUpToDate(id, tracked));
+  }
+
+  private void pollWhenUpToDate(String id, TrackedReply reply) {
     Duration requestedAt = loop.now();
     lookup.whenUpToDate(
         upToDate -> {
           Job job = clusterState.job(id);
           if (clusterState.finalPhase(id) != null) {
-            trackedReply.send(
+            reply.send(
                 200, Responses.jobProgress(id, clusterState.finalPhase(id).status(), 0, 0));
           } else if (job != null && upToDate) {
-            sendProgress(id, job.record(), trackedReply);
+            sendProgress(id, job.record(), reply);
           } else {
             // The cache discards old outcomes: only the state service can prove a job's absence.
             lookup.find(
                 id,
                 requestedAt,
-                new UserLookupCallback(trackedReply) {
+                new UserLookupCallback(reply) {
                   @Override
                   public void found(JobRecord record, long version) {
-                    sendProgress(id, record, trackedReply);
+                    sendProgress(id, record, reply);
                   }
                 });
           }
@@ -197,7 +204,8 @@
       return;
     }
     if (!rejectIfUnavailable(reply)) {
-      tryCancel(id, CANCEL_TRIES, track(reply));
+      openRequests.process(
+          "cancellation", reply, tracked -> tryCancel(id, CANCEL_TRIES, tracked));
     }
   }
 
--- a/src/main/java/io/tansystack/peers/PeerLink.java
+++ b/src/main/java/io/tansystack/peers/PeerLink.java
@@ -137,13 +137,13 @@
 
   /** Sends heartbeats, the first at once: in a full restart, controllers wait for each other's. */
   public void start() {
+    loop.after(HEARTBEAT, this::start);
     Set<String> subscribers = viewSubscribers.get();
     bootingUpdate = bootingUpdates.get();
     for (Link link : links.values()) {
       setSubscribed(link, subscribers.contains(link.peer.label()));
       send(link);
     }
-    loop.after(HEARTBEAT, this::start);
   }
 
   private void setSubscribed(Link link, boolean subscribed) {
--- a/src/main/java/io/tansystack/recovery/CommandThrottle.java
+++ b/src/main/java/io/tansystack/recovery/CommandThrottle.java
@@ -135,10 +135,23 @@
           scheduleTick();
           return;
         }
-        retriedMachine = machines.iterator().next();
-        machines.remove(retriedMachine);
-        retry.accept(retriedMachine);
-        retriedMachine = null;
+        retry(machines);
+      }
+    }
+  }
+
+  /** Retries the first of these machines; the others follow later if that throws an exception. */
+  private void retry(Set<String> machines) {
+    retriedMachine = machines.iterator().next();
+    machines.remove(retriedMachine);
+    boolean succeeded = false;
+    try {
+      retry.accept(retriedMachine);
+      succeeded = true;
+    } finally {
+      retriedMachine = null;
+      if (!succeeded) {
+        scheduleTick();
       }
     }
   }
--- a/src/main/java/io/tansystack/store/StoreClient.java
+++ b/src/main/java/io/tansystack/store/StoreClient.java
@@ -4,6 +4,7 @@
 import io.tansystack.http.EventLoop;
 import io.tansystack.http.HttpClient;
 import io.tansystack.wire.Cbor;
+import io.tansystack.wire.EncodingException;
 import io.tansystack.wire.InvalidMessageException;
 import io.tansystack.wire.StoreProtocol.Change;
 import io.tansystack.wire.StoreProtocol.Condition;
@@ -19,12 +20,18 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Client of the state service. Every callback runs on the event loop. */
+/**
+ * Client of the state service. Every callback runs on the event loop, and exactly once for each
+ * request, also if the request can't be encoded or sent.
+ */
 public final class StoreClient {
   private static final Logger log = LoggerFactory.getLogger(StoreClient.class);
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
   private static final int MAX_QUEUED = 64;
 
+  /** Time between two attempts to send queued transactions while the budget is used up. */
+  private static final Duration DRAIN_INTERVAL = Duration.ofMillis(25);
+
   /** What is known about the outcome of a transaction. */
   public enum CommitResult {
     /** Applied at the given revision. */
@@ -33,7 +40,7 @@
     CONFLICT,
     /** Not executed: it was refused, or the service was unavailable. */
     REFUSED,
-    /** Not executed, and never will be: the service rejects it as malformed. */
+    /** Not executed, and never will be: it can't be encoded, or the service rejects its form. */
     MALFORMED,
     /** Not executed: it exceeded the service's rate limit. */
     BUSY,
@@ -135,6 +142,16 @@
   }
 
   private void drainQueue() {
+    try {
+      sendQueued();
+    } finally {
+      if (!urgentQueue.isEmpty()) {
+        scheduleDrain();
+      }
+    }
+  }
+
+  private void sendQueued() {
     Duration now = loop.now();
     while (!urgentQueue.isEmpty()) {
       QueuedTransaction head = urgentQueue.peek();
@@ -148,10 +165,13 @@
         break;
       }
     }
-    if (!urgentQueue.isEmpty() && !drainScheduled) {
+  }
+
+  private void scheduleDrain() {
+    if (!drainScheduled) {
       drainScheduled = true;
       loop.after(
-          Duration.ofMillis(25),
+          DRAIN_INTERVAL,
           () -> {
             drainScheduled = false;
             drainQueue();
@@ -210,10 +230,18 @@
   }
 
   private void send(List<Condition> conditions, List<Write> writes, CommitCallback callback) {
+    byte[] body;
+    try {
+      body = StoreProtocol.encodeTransaction(conditions, writes);
+    } catch (EncodingException e) {
+      log.error("a transaction of {} writes is not sent: {}", writes.size(), e.getMessage());
+      callback.done(CommitResult.MALFORMED, 0);
+      return;
+    }
     request(
         "POST",
         "/commit",
-        StoreProtocol.encodeTransaction(conditions, writes),
+        body,
         TIMEOUT,
         (status, map) -> {
           switch (status) {
--- a/src/main/java/io/tansystack/store/Watcher.java
+++ b/src/main/java/io/tansystack/store/Watcher.java
@@ -1,5 +1,6 @@
 package io.tansystack.store;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.http.EventLoop;
 import io.tansystack.wire.InvalidMessageException;
 import io.tansystack.wire.StoreProtocol.Change;
@@ -25,6 +26,9 @@
   private static final Duration PAGE_TIMEOUT = Duration.ofSeconds(4);
   private static final Duration RETRY = Duration.ofMillis(250);
 
+  /** Pause before everything is read again after the listener has failed. */
+  private static final Duration RELOAD_DELAY = Duration.ofSeconds(1);
+
   /** Receives the stream. */
   public interface Listener {
     /**
@@ -48,6 +52,10 @@
   private Duration upToDateAsOf;
   private Duration upToDateBeforeLastUpdate;
   private boolean confirmInFlight;
+
+  /** Whether the listener failed, so that the cache may lack changes until it is loaded again. */
+  private boolean incomplete;
+
   private long revision;
 
   /**
@@ -82,7 +90,7 @@
    * serves all callers that wait for it.
    */
   public void confirmUpToDate() {
-    if (confirmInFlight || upToDateAsOf == null) {
+    if (confirmInFlight || incomplete || upToDateAsOf == null) {
       return;
     }
     confirmInFlight = true;
@@ -95,7 +103,9 @@
         (status, map) -> {
           confirmInFlight = false;
           try {
-            if (status == 200 && StoreProtocol.readList(map).revision() <= revision) {
+            if (!incomplete
+                && status == 200
+                && StoreProtocol.readList(map).revision() <= revision) {
               upToDateAsOf = sentAt.compareTo(upToDateAsOf) > 0 ? sentAt : upToDateAsOf;
               upToDateListener.accept(sentAt);
             }
@@ -174,9 +184,8 @@
             if (status == 200) {
               Changes since = StoreProtocol.readWatch(map);
               revision = Math.max(firstRevision, since.revision());
-              upToDateBeforeLastUpdate = upToDateAsOf == null ? startedAt : upToDateAsOf;
-              upToDateAsOf = startedAt;
-              listener.snapshot(pages, since.changes(), revision);
+              update(startedAt, () -> listener.snapshot(pages, since.changes(), revision));
+              incomplete = false;
               watch();
               return;
             }
@@ -191,6 +200,26 @@
         });
   }
 
+  /**
+   * Passes an update to the listener. If the listener fails, the cache does not count as up to date
+   * as of this update, and everything is read again: no change may be skipped.
+   *
+   * @param asOf the moment as of which the cache is up to date with the update
+   */
+  private void update(Duration asOf, Runnable notifyListener) {
+    Duration previous = upToDateAsOf;
+    upToDateBeforeLastUpdate = previous == null ? asOf : previous;
+    upToDateAsOf = asOf;
+    try {
+      notifyListener.run();
+    } catch (RuntimeException e) {
+      incomplete = true;
+      upToDateAsOf = previous;
+      loop.after(RELOAD_DELAY, this::start);
+      throw e;
+    }
+  }
+
   private void watch() {
     Duration sentAt = loop.now();
     store.request(
@@ -199,33 +228,41 @@
         null,
         LONG_POLL.plusSeconds(3),
         (status, map) -> {
-          Duration delay = RETRY;
           if (status == 410) {
             log.info("watch: revision {} is too old, reading everything again", revision);
             start();
-            return;
-          }
-          try {
-            if (status == 200) {
-              Changes changes = StoreProtocol.readWatch(map);
-              upToDateBeforeLastUpdate = upToDateAsOf;
-              upToDateAsOf = sentAt;
-              revision = Math.max(revision, changes.revision());
-              listener.changes(changes.changes(), revision);
-              upToDateListener.accept(sentAt);
-              delay = minInterval.minus(loop.now().minus(sentAt));
-            }
-          } catch (InvalidMessageException e) {
-            // No change may be skipped, so everything is read again.
-            invalidMessages.warn("state service: unreadable watch", e.getMessage());
-            loop.after(RETRY, this::start);
-            return;
-          }
-          if (delay.isNegative() || delay.isZero()) {
-            watch();
+          } else if (status == 200) {
+            onWatchResponse(map, sentAt);
           } else {
-            loop.after(delay, this::watch);
+            loop.after(RETRY, this::watch);
           }
         });
   }
+
+  private void onWatchResponse(ObjectNode map, Duration sentAt) {
+    Changes changes;
+    try {
+      changes = StoreProtocol.readWatch(map);
+    } catch (InvalidMessageException e) {
+      // No change may be skipped, so everything is read again.
+      invalidMessages.warn("state service: unreadable watch", e.getMessage());
+      loop.after(RETRY, this::start);
+      return;
+    }
+    revision = Math.max(revision, changes.revision());
+    update(sentAt, () -> listener.changes(changes.changes(), revision));
+    try {
+      upToDateListener.accept(sentAt);
+    } finally {
+      watchAfter(minInterval.minus(loop.now().minus(sentAt)));
+    }
+  }
+
+  private void watchAfter(Duration delay) {
+    if (delay.isNegative() || delay.isZero()) {
+      watch();
+    } else {
+      loop.after(delay, this::watch);
+    }
+  }
 }
--- a/src/main/java/io/tansystack/wire/Cbor.java
+++ b/src/main/java/io/tansystack/wire/Cbor.java
@@ -18,11 +18,12 @@
     return JsonNodeFactory.instance.objectNode();
   }
 
+  /** Encodes a tree; an {@link EncodingException} says why that is impossible. */
   public static byte[] encode(JsonNode node) {
     try {
       return MAPPER.writeValueAsBytes(node);
     } catch (JsonProcessingException e) {
-      throw new IllegalStateException("a JSON tree could not be encoded as CBOR", e);
+      throw new EncodingException("not encodable as CBOR: " + e.getOriginalMessage(), e);
     }
   }
 
--- a/src/main/java/io/tansystack/workers/ClaimBatcher.java
+++ b/src/main/java/io/tansystack/workers/ClaimBatcher.java
@@ -1,7 +1,9 @@
 package io.tansystack.workers;
 
+import com.google.common.collect.Lists;
 import io.tansystack.cluster.ClusterState;
 import io.tansystack.cluster.MachineRecord;
+import io.tansystack.http.Callbacks;
 import io.tansystack.http.EventLoop;
 import io.tansystack.store.StoreClient.CommitCallback;
 import io.tansystack.store.StoreClient.CommitResult;
@@ -74,16 +76,16 @@
   private void write() {
     writeScheduled = false;
     lastWriteAt = loop.now();
-    while (!waiting.isEmpty()) {
-      List<Claim> batch = new ArrayList<>();
-      while (!waiting.isEmpty() && batch.size() < MAX_BATCH_SIZE) {
-        batch.add(waiting.poll());
-      }
-      if (batch.size() == 1) {
-        claimIndividually(batch.get(0));
-      } else {
-        claimInBatch(batch);
-      }
+    List<Claim> claims = List.copyOf(waiting);
+    waiting.clear();
+    Callbacks.forEach(Lists.partition(claims, MAX_BATCH_SIZE), this::write);
+  }
+
+  private void write(List<Claim> batch) {
+    if (batch.size() == 1) {
+      claimIndividually(batch.get(0));
+    } else {
+      claimInBatch(batch);
     }
   }
 
@@ -106,11 +108,12 @@
         conditions,
         new Write(key, ClusterState.claimBatch(batch.stream().map(Claim::record).toList()), 0),
         (result, revision) -> {
-          if (result == CommitResult.CONFLICT) {
-            // Another controller has claimed one of them; the others can still be claimed.
-            batch.forEach(this::claimIndividually);
+          if (result == CommitResult.CONFLICT || result == CommitResult.MALFORMED) {
+            // Another controller has claimed one of them, or one of them can't be recorded; the
+            // others can still be claimed.
+            Callbacks.forEach(batch, this::claimIndividually);
           } else {
-            batch.forEach(claim -> claim.callback.done(result, revision));
+            Callbacks.forEach(batch, claim -> claim.callback.done(result, revision));
           }
         });
   }
--- a/src/main/java/io/tansystack/workers/MachineClaims.java
+++ b/src/main/java/io/tansystack/workers/MachineClaims.java
@@ -2,6 +2,7 @@
 
 import io.tansystack.cluster.ClusterState;
 import io.tansystack.cluster.MachineRecord;
+import io.tansystack.http.Callbacks;
 import io.tansystack.http.EventLoop;
 import io.tansystack.http.HttpServer.Reply;
 import io.tansystack.recovery.OwnerLiveness.Verdict;
@@ -262,7 +263,8 @@
   private void failClaim(String name) {
     PendingClaim pending = pendingClaims.remove(name);
     if (pending != null) {
-      pending.waiting.forEach(
+      Callbacks.forEach(
+          pending.waiting,
           c -> c.reply.send(503, Cbor.encode(Responses.error("the claim did not succeed"))));
     }
   }
@@ -315,7 +317,7 @@
 
   /** Completes the claims that the changed cluster state shows. */
   void onClusterStateChange() {
-    List.copyOf(pendingClaims.keySet()).forEach(this::completeClaim);
+    Callbacks.forEach(List.copyOf(pendingClaims.keySet()), this::completeClaim);
   }
 
   /**
@@ -331,7 +333,8 @@
     }
     if (mayAnswer.test(record)) {
       pendingClaims.remove(name);
-      pending.waiting.forEach(c -> claimListener.onClaimed(record, c.report, c.reply));
+      Callbacks.forEach(
+          pending.waiting, c -> claimListener.onClaimed(record, c.report, c.reply));
     } else if (pending.revision > 0 && clusterState.revision() >= pending.revision) {
       failClaim(name);
     }
--- a/src/main/java/io/tansystack/workers/OwnedMachines.java
+++ b/src/main/java/io/tansystack/workers/OwnedMachines.java
@@ -1,11 +1,17 @@
 package io.tansystack.workers;
 
+import io.tansystack.cluster.ClusterState.Job;
 import io.tansystack.cluster.ClusterState;
 import io.tansystack.cluster.ControllerLease;
 import io.tansystack.cluster.MachineRecord;
 import io.tansystack.http.EventLoop;
 import io.tansystack.schedule.MachineHistory;
+import io.tansystack.wire.Addresses;
+import io.tansystack.wire.InvalidMessageException;
+import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.MachineType;
+import io.tansystack.wire.Report;
+import io.tansystack.wire.ThrottledLogger;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -26,6 +32,7 @@
   /** Assumed image cache size of a machine whose type is unknown. */
   private static final double DEFAULT_CACHE_GB = 50;
 
+  private final ThrottledLogger invalidMessages = new ThrottledLogger(log);
   private final EventLoop loop;
   private final ClusterState clusterState;
   private final ControllerLease lease;
@@ -65,6 +72,31 @@
     return machines.computeIfAbsent(record.name(), name -> acquire(record));
   }
 
+  /** Applies a report unless a newer one is known; reports may arrive minutes late. */
+  void applyReport(OwnedMachine machine, Report report) {
+    if (machine.latest != null && !report.newerThan(machine.latest)) {
+      return;
+    }
+    if (machine.latest != null && report.repeats(machine.latest)) {
+      // Keeps the same list object, by which later comparisons recognize the tasks as unchanged.
+      machine.latest = report.withTasks(machine.latest.tasks());
+      return;
+    }
+    machine.apply(report);
+    try {
+      machine.address = Addresses.parse(report.address());
+    } catch (InvalidMessageException e) {
+      invalidMessages.warn("machine=" + machine.name + " can't be sent commands", e.getMessage());
+      machine.address = null;
+    }
+    machine.history.observe(report, loop.now(), this::spec);
+  }
+
+  private JobSpec spec(String job) {
+    Job known = clusterState.job(job);
+    return known == null ? null : known.record().spec();
+  }
+
   private OwnedMachine acquire(MachineRecord record) {
     MachineType type = machineTypes.apply(record.type());
     MachineHistory history =
--- a/src/main/java/io/tansystack/workers/WorkerManager.java
+++ b/src/main/java/io/tansystack/workers/WorkerManager.java
@@ -1,12 +1,12 @@
 package io.tansystack.workers;
 
 import com.google.common.collect.Sets;
-import io.tansystack.cluster.ClusterState.Job;
 import io.tansystack.cluster.ClusterState;
 import io.tansystack.cluster.ClusterStateDelta;
 import io.tansystack.cluster.ControllerLease;
 import io.tansystack.cluster.MachineRecord;
 import io.tansystack.cluster.WallClockConverter;
+import io.tansystack.http.Callbacks;
 import io.tansystack.http.EventLoop;
 import io.tansystack.http.HttpClient;
 import io.tansystack.http.HttpServer.Reply;
@@ -15,11 +15,9 @@
 import io.tansystack.recovery.RecoveryContext;
 import io.tansystack.recovery.StartupLogger;
 import io.tansystack.store.StoreClient;
-import io.tansystack.wire.Addresses;
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.Command;
 import io.tansystack.wire.InvalidMessageException;
-import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.MachineType;
 import io.tansystack.wire.Report;
 import io.tansystack.wire.ReportHeader;
@@ -103,7 +101,7 @@
     this.throttle = new CommandThrottle(loop, this::reconcileIfOwned);
     this.commandSender =
         new CommandSender(
-            loop, httpClient, clusterState, throttle, this::applyReport,
+            loop, httpClient, clusterState, throttle, machines::applyReport,
             m -> reconcileIfOwned(m.name));
     this.leaseMonitor =
         new WorkerLeaseMonitor(loop, store, clusterState, lease, label, workerLease);
@@ -202,7 +200,7 @@
       }
       reply.send(200, machine.response(token));
     }
-    applyReport(machine, report);
+    machines.applyReport(machine, report);
     reconcile(machine);
   }
 
@@ -222,31 +220,6 @@
         lostTasks);
   }
 
-  /** Applies a report unless a newer one is known; reports may arrive minutes late. */
-  private void applyReport(OwnedMachine machine, Report report) {
-    if (machine.latest != null && !report.newerThan(machine.latest)) {
-      return;
-    }
-    if (machine.latest != null && report.repeats(machine.latest)) {
-      // Keeps the same list object, by which later comparisons recognize the tasks as unchanged.
-      machine.latest = report.withTasks(machine.latest.tasks());
-      return;
-    }
-    machine.apply(report);
-    try {
-      machine.address = Addresses.parse(report.address());
-    } catch (InvalidMessageException e) {
-      invalidMessages.warn("machine=" + machine.name + " can't be sent commands", e.getMessage());
-      machine.address = null;
-    }
-    machine.history.observe(report, loop.now(), this::spec);
-  }
-
-  private JobSpec spec(String job) {
-    Job known = clusterState.job(job);
-    return known == null ? null : known.record().spec();
-  }
-
   /**
    * Handles changes of the records of machines, or of the placements on them: claims may have
    * become effective, and commands may be needed. A large cluster can't afford to scan all machines
@@ -298,14 +271,19 @@
       restartSilenceTimers();
     }
     claims.tick(now);
-    for (OwnedMachine machine : List.copyOf(machines.all())) {
-      reconcile(machine);
-      MachineRecord record = clusterState.machine(machine.name);
-      if (isOwn(record)) {
-        leaseMonitor.declareGoneIfExpired(machine, record, heartbeats.listeningSince());
-      }
+    try {
+      Callbacks.forEach(List.copyOf(machines.all()), this::tick);
+    } finally {
+      heartbeats.evaluate(machines.all(), now);
+    }
+  }
+
+  private void tick(OwnedMachine machine) {
+    reconcile(machine);
+    MachineRecord record = clusterState.machine(machine.name);
+    if (isOwn(record)) {
+      leaseMonitor.declareGoneIfExpired(machine, record, heartbeats.listeningSince());
     }
-    heartbeats.evaluate(machines.all(), now);
   }
 
   /** Fails over the machines of an owner that has no record and is overdue. */
