A job that needs next to nothing of what a type lacks fits no machine of it

Users saw: no answer to a service or gang that needs 1e-10 GPUs and allows only a type without any, and each used up an open request (BadText with KIND=gpus; 500 since every request is answered). An array of such tasks was accepted and would have waited for ever.

Cause: MachineType.fits has an absolute tolerance, capacityFor a relative one. With none of a resource the first says that the task fits, the second that a machine holds 0 of them, and whyUnrecordable divided by that.

Change: what fits has a capacity of at least one. Such a submission gets 422.

--- a/src/main/java/io/tansystack/wire/MachineType.java
+++ b/src/main/java/io/tansystack/wire/MachineType.java
@@ -59,7 +59,8 @@
   public boolean fits(JobSpec spec) {
     return spec.cpus() <= cpus + EPSILON
         && spec.gpus() <= gpus + EPSILON
-        && spec.memGb() <= memGb + EPSILON;
+        && spec.memGb() <= memGb + EPSILON
+        && capacityFor(spec) >= 1; // The tolerance grants no part of what the type has nothing of.
   }
 
   /** How many tasks of the job fit into an empty machine of this type. */
--- a/src/test/java/io/tansystack/sim/SubmissionValidationTest.java
+++ b/src/test/java/io/tansystack/sim/SubmissionValidationTest.java
@@ -99,6 +99,10 @@
     cases.put("more GPUs than any type has", map -> map.put("Gpus", 8.5));
     cases.put("more memory than any type has", map -> map.put("MemGb", 65.0));
     cases.put("more CPUs than the allowed type has", map -> map.put("Cpus", 5.0).putArray("Fleets").add("small"));
+    cases.put("a service that needs next to no GPU of a type without GPUs",
+        map -> map.put("Shape", "service").put("Gpus", 1e-10).putArray("Fleets").add("small"));
+    cases.put("an array that needs next to no GPU of a type without GPUs",
+        map -> map.put("Gpus", 1e-10).putArray("Fleets").add("small"));
     cases.put("unknown type", map -> map.putArray("Fleets").add("huge"));
     cases.put("empty list of types", map -> map.putArray("Fleets"));
     cases.put("unknown zone", map -> map.put("Yard", "z"));
