A call counts as in flight only once nothing can fail before it is sent

Cause: commandsInFlight, callInFlight, journalWriteInFlight and the failovers in progress were set before the message was encoded or its conditions were collected. If that failed, the machine got no commands any more, the autoscaler deleted or rented nothing, or the failed controller's machines stayed without an owner, until the process ended.

Change: the flag is set after the last step that can fail.

--- a/src/main/java/io/tansystack/fleet/MachineReleaser.java
+++ b/src/main/java/io/tansystack/fleet/MachineReleaser.java
@@ -113,11 +113,12 @@
         batch.add(name);
       }
     }
+    byte[] body = CloudProtocol.encodeDelete(batch);
     callInFlight = true;
     cloud.call(
         "POST",
         "/machines/delete",
-        CloudProtocol.encodeDelete(batch),
+        body,
         (status, map) -> {
           callInFlight = false;
           if (status != 200) {
--- a/src/main/java/io/tansystack/fleet/Rentals.java
+++ b/src/main/java/io/tansystack/fleet/Rentals.java
@@ -256,12 +256,12 @@
   }
 
   private void writeJournal(List<Request> newRequests) {
-    journalWriteInFlight = true;
     newRequests.forEach(r -> requests.put(r.id, r));
     newRequests.forEach(r -> r.callInFlight = true); // tick() must not send them unwritten.
     ObjectNode value = Cbor.map();
     ArrayNode list = value.putArray("requests");
     requests.values().forEach(r -> list.add(r.write()));
+    journalWriteInFlight = true;
     ClusterState.RentalJournal cached = clusterState.rentals();
     journalVersion = Math.max(journalVersion, cached == null ? 0 : cached.version());
     journalDirty = false;
@@ -295,13 +295,16 @@
   }
 
   private void send(Request r) {
+    MachineOffering offering = r.offering;
+    byte[] body =
+        CloudProtocol.encodeRent(
+            r.id, offering.type(), offering.zone(), offering.spot(), r.count);
     r.callInFlight = true;
     Duration sentAt = loop.now();
-    MachineOffering offering = r.offering;
     cloud.call(
         "POST",
         "/machines",
-        CloudProtocol.encodeRent(r.id, offering.type(), offering.zone(), offering.spot(), r.count),
+        body,
         (status, map) -> {
           r.callInFlight = false;
           if (requests.get(r.id) != r) {
--- a/src/main/java/io/tansystack/recovery/FailoverCoordinator.java
+++ b/src/main/java/io/tansystack/recovery/FailoverCoordinator.java
@@ -6,6 +6,7 @@
 import io.tansystack.cluster.OwnershipConditions;
 import io.tansystack.http.EventLoop;
 import io.tansystack.store.StoreClient;
+import io.tansystack.wire.StoreProtocol.Condition;
 import io.tansystack.wire.StoreProtocol.Write;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -60,12 +61,15 @@
    */
   public void failOver(MachineRecord machine, String reason) {
     String claimant = machine.claimant();
-    if (!clusterState.alive(label) || !inProgress.add(claimant)) {
+    if (!clusterState.alive(label) || inProgress.contains(claimant)) {
       return;
     }
     Map<String, List<String>> successors = successorsByZone();
+    List<Condition> conditions =
+        OwnershipConditions.failoverAllowed(clusterState, machine, label);
+    inProgress.add(claimant);
     store.commitUrgent(
-        OwnershipConditions.failoverAllowed(clusterState, machine, label),
+        conditions,
         List.of(new Write(ClusterState.failoverKey(claimant), FailoverRecord.write(successors), 0)),
         COMMIT_TIMEOUT,
         (result, revision) -> {
--- a/src/main/java/io/tansystack/workers/CommandSender.java
+++ b/src/main/java/io/tansystack/workers/CommandSender.java
@@ -141,6 +141,7 @@
   }
 
   private void send(OwnedMachine machine, long token, long session, List<Command> commands) {
+    byte[] body = Command.encodeAll(token, session, commands);
     machine.commandsInFlight = true;
     commands.forEach(command -> sentCount.merge(command.op(), 1L, Long::sum));
     if (log.isDebugEnabled()) {
@@ -158,7 +159,7 @@
         machine.address,
         "POST",
         "/orders",
-        Command.encodeAll(token, session, commands),
+        body,
         COMMANDS_TIMEOUT,
         new HttpClient.ResponseHandler() {
           @Override
