A connection that nobody serves any more ends in a stated time

Cause: nothing ended a connection on which nothing happens. Undertow's timeout for connections without a request was switched off; the client kept idle connections, and what it knew of an address, for ever. A machine without power closes nothing. Two ways beside it: a connection that the other side closed between its establishment and its first use was counted as open for ever, so that twelve of them made an address unreachable; a request that arrived in part, or a response that was not read, held its connection for ever.

Change: the server closes a connection without a request after the workers' lease (30 to 60 s), and one with a request that doesn't arrive or a response that isn't read after 10 s (Undertow's own timeouts, and ConnectionTimeout for bodies and responses). The client closes idle connections after 30 s, those to machines that the controller owns no longer at once, and forgets addresses without connections. UndertowHttpClient is split into the calls, the pool of an address and the client. Servers and clients of stand-ins keep their connections as before. The log tells the open connections beside the platform's limit.

Sound workers report every 3 to 6 s and are not touched (HttpServerTest).

--- a/src/main/java/io/tansystack/cli/ControllerProcess.java
+++ b/src/main/java/io/tansystack/cli/ControllerProcess.java
@@ -1,6 +1,7 @@
 package io.tansystack.cli;
 
 import io.tansystack.http.HttpServer;
+import io.tansystack.http.ServerTimeouts;
 import io.tansystack.http.UndertowHttpClient;
 import io.tansystack.http.XnioEventLoop;
 import io.tansystack.peers.PeerLink;
@@ -9,6 +10,7 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.security.SecureRandom;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Random;
 import org.slf4j.Logger;
@@ -17,6 +19,7 @@
 import org.xnio.Options;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
+import org.xnio.management.XnioServerMXBean;
 
 /** Runs a controller in this process, all of it on one XNIO worker with one I/O thread. */
 final class ControllerProcess {
@@ -24,6 +27,11 @@
   private static final int BUFFER_BYTES = 8192;
   private static final int MAX_CONNECTIONS_PER_ADDRESS = 12;
 
+  /** Connections to workers are idle for longer than this only while their tasks run on. */
+  private static final Duration IDLE_CLIENT_CONNECTION_TIMEOUT = Duration.ofSeconds(30);
+
+  private static final Duration CONNECTION_LOG_INTERVAL = Duration.ofSeconds(30);
+
   private ControllerProcess() {}
 
   /** Starts the controller and returns; the worker's threads keep the process running. */
@@ -43,7 +51,11 @@
     XnioEventLoop loop = new XnioEventLoop(worker.getIoThread());
     UndertowHttpClient httpClient =
         new UndertowHttpClient(
-            worker.getIoThread(), loop, buffers, MAX_CONNECTIONS_PER_ADDRESS);
+            worker.getIoThread(),
+            loop,
+            buffers,
+            MAX_CONNECTIONS_PER_ADDRESS,
+            IDLE_CLIENT_CONNECTION_TIMEOUT);
     Random random = new Random(new SecureRandom().nextLong() ^ System.nanoTime());
     Controller controller =
         new Controller(loop, httpClient, settings, operator, InstantSource.system(), random);
@@ -55,9 +67,30 @@
             controller::handleFront,
             settings.peerBind(),
             controller::handlePeer,
-            PeerLink.MAX_BODY);
+            PeerLink.MAX_BODY,
+            ServerTimeouts.ofController(settings.workerTimings().leaseDuration()));
     server.start();
     loop.execute(controller::start);
+    logConnections(loop, worker, httpClient, settings.processLimits().maxConnections());
     log.info("listening on {} and {}", settings.front(), settings.peerBind());
   }
+
+  /** Logs the open connections from time to time, beside the number that the platform allows. */
+  private static void logConnections(
+      XnioEventLoop loop, XnioWorker worker, UndertowHttpClient httpClient, int limit) {
+    loop.after(
+        CONNECTION_LOG_INTERVAL,
+        () -> {
+          logConnections(loop, worker, httpClient, limit);
+          int accepted =
+              worker.getMXBean().getServerMXBeans().stream()
+                  .mapToInt(XnioServerMXBean::getConnectionCount)
+                  .sum();
+          log.info(
+              "connections accepted={} opened={} limit={}",
+              accepted,
+              httpClient.openConnections(),
+              limit);
+        });
+  }
 }
--- a/src/main/java/io/tansystack/http/AddressServer.java
+++ b/src/main/java/io/tansystack/http/AddressServer.java
@@ -6,7 +6,6 @@
 import io.undertow.server.protocol.http.HttpOpenListener;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import org.xnio.ChannelListeners;
@@ -27,22 +26,21 @@
   private final XnioWorker worker;
   private final ByteBufferPool buffers;
   private final int maxBodyBytes;
-  private final Duration replyTimeout;
+  private final ServerTimeouts timeouts;
   private final Map<InetSocketAddress, AcceptingChannel<StreamConnection>> channels =
       new HashMap<>();
 
   /** @param maxBodyBytes longer request bodies are rejected unread */
   public AddressServer(XnioWorker worker, ByteBufferPool buffers, int maxBodyBytes) {
-    this(worker, buffers, maxBodyBytes, ServiceHandler.REPLY_TIMEOUT);
+    this(worker, buffers, maxBodyBytes, ServerTimeouts.NONE);
   }
 
-  /** @param replyTimeout after this time a request without a reply gets 503 */
   AddressServer(
-      XnioWorker worker, ByteBufferPool buffers, int maxBodyBytes, Duration replyTimeout) {
+      XnioWorker worker, ByteBufferPool buffers, int maxBodyBytes, ServerTimeouts timeouts) {
     this.worker = worker;
     this.buffers = buffers;
     this.maxBodyBytes = maxBodyBytes;
-    this.replyTimeout = replyTimeout;
+    this.timeouts = timeouts;
   }
 
   /** Serves the address until {@link #close} is called for it. */
@@ -50,10 +48,14 @@
     OptionMap undertowOptions =
         OptionMap.builder()
             .set(UndertowOptions.ALWAYS_SET_DATE, false)
-            .set(UndertowOptions.NO_REQUEST_TIMEOUT, -1)
+            .set(
+                UndertowOptions.NO_REQUEST_TIMEOUT, ServerTimeouts.undertowMillis(timeouts.idle()))
+            .set(
+                UndertowOptions.REQUEST_PARSE_TIMEOUT,
+                ServerTimeouts.undertowMillis(timeouts.transfer()))
             .getMap();
     HttpOpenListener listener = new HttpOpenListener(buffers, undertowOptions);
-    listener.setRootHandler(new ServiceHandler(service, maxBodyBytes, true, replyTimeout));
+    listener.setRootHandler(new ServiceHandler(service, maxBodyBytes, timeouts, true));
     OptionMap socketOptions =
         OptionMap.builder()
             .set(Options.TCP_NODELAY, true)
--- a/src/main/java/io/tansystack/http/BodyReader.java
+++ b/src/main/java/io/tansystack/http/BodyReader.java
@@ -6,6 +6,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.function.Consumer;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSourceChannel;
@@ -34,8 +35,14 @@
   /**
    * Reads the request's body and passes it to {@code onBody} when it is complete. Runs {@code
    * onFailure} instead if the body exceeds the exchange's size limit or can't be read.
+   *
+   * @param timeout the connection is closed if the rest of the body takes longer than this
    */
-  static void receive(HttpServerExchange exchange, Consumer<byte[]> onBody, Runnable onFailure) {
+  static void receive(
+      HttpServerExchange exchange,
+      Duration timeout,
+      Consumer<byte[]> onBody,
+      Runnable onFailure) {
     StreamSourceChannel channel =
         exchange.isRequestComplete() ? null : exchange.getRequestChannel();
     if (channel == null) {
@@ -53,16 +60,20 @@
       onFailure.run();
       return;
     }
+    ConnectionTimeout connectionTimeout =
+        ConnectionTimeout.start(exchange, timeout, "the rest of a request");
     channel
         .getReadSetter()
         .set(
             ch -> {
               try {
                 if (readAvailable(exchange, ch, body)) {
+                  connectionTimeout.cancel();
                   ch.suspendReads();
                   Connectors.executeRootHandler(ex -> onBody.accept(body.toByteArray()), exchange);
                 }
               } catch (IOException e) {
+                connectionTimeout.cancel();
                 IoUtils.safeClose(ch);
                 Connectors.executeRootHandler(ex -> onFailure.run(), exchange);
               }
--- a/src/main/java/io/tansystack/http/HttpClient.java
+++ b/src/main/java/io/tansystack/http/HttpClient.java
@@ -34,4 +34,7 @@
       byte[] body,
       Duration timeout,
       ResponseHandler handler);
+
+  /** Closes the idle connections to an address to which no requests are expected any more. */
+  default void release(InetSocketAddress address) {}
 }
--- a/src/main/java/io/tansystack/http/HttpServer.java
+++ b/src/main/java/io/tansystack/http/HttpServer.java
@@ -11,6 +11,7 @@
 /**
  * Undertow's server for a controller's front and peer addresses. It runs on the event loop's thread
  * and reads each request body completely, up to a size limit, before the service is called.
+ * Connections that nobody serves any more are closed in the time that {@link ServerTimeouts} states.
  */
 public final class HttpServer {
   /** Limit of request bodies on the front address; longer ones are rejected unread. */
@@ -42,7 +43,8 @@
       Service frontService,
       InetSocketAddress peerAddress,
       Service peerService,
-      int peerMaxBodyBytes) {
+      int peerMaxBodyBytes,
+      ServerTimeouts timeouts) {
     undertow =
         Undertow.builder()
             .setWorker(worker)
@@ -50,12 +52,20 @@
             .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
             .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
             .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
-            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, -1)
+            .setServerOption(
+                UndertowOptions.NO_REQUEST_TIMEOUT, ServerTimeouts.undertowMillis(timeouts.idle()))
+            .setServerOption(
+                UndertowOptions.REQUEST_PARSE_TIMEOUT,
+                ServerTimeouts.undertowMillis(timeouts.transfer()))
             .setSocketOption(Options.REUSE_ADDRESSES, true)
             .setSocketOption(Options.TCP_NODELAY, true)
             .setSocketOption(Options.BACKLOG, 256)
-            .addListener(listener(frontAddress, new ServiceHandler(frontService, MAX_BODY_BYTES)))
-            .addListener(listener(peerAddress, new ServiceHandler(peerService, peerMaxBodyBytes)))
+            .addListener(
+                listener(
+                    frontAddress, new ServiceHandler(frontService, MAX_BODY_BYTES, timeouts)))
+            .addListener(
+                listener(
+                    peerAddress, new ServiceHandler(peerService, peerMaxBodyBytes, timeouts)))
             .build();
   }
 
--- a/src/main/java/io/tansystack/http/ServiceHandler.java
+++ b/src/main/java/io/tansystack/http/ServiceHandler.java
@@ -18,33 +18,29 @@
  * replied in time.
  */
 final class ServiceHandler implements HttpHandler {
-  /** Longer than any client of the protocol waits for a response. */
-  static final Duration REPLY_TIMEOUT = Duration.ofSeconds(10);
-
   private static final Logger log = LoggerFactory.getLogger(ServiceHandler.class);
   private static final byte[] NO_BODY = new byte[0];
 
   private final Service service;
   private final int maxBodyBytes;
   private final boolean pathIncludesQuery;
-  private final Duration replyTimeout;
+  private final ServerTimeouts timeouts;
 
   /** For a service whose requests have no query string. */
-  ServiceHandler(Service service, int maxBodyBytes) {
-    this(service, maxBodyBytes, false, REPLY_TIMEOUT);
+  ServiceHandler(Service service, int maxBodyBytes, ServerTimeouts timeouts) {
+    this(service, maxBodyBytes, timeouts, false);
   }
 
   /**
    * @param maxBodyBytes longer request bodies are rejected unread
    * @param pathIncludesQuery whether the query string is passed to the service as part of the path
-   * @param replyTimeout after this time a request without a reply gets 503
    */
   ServiceHandler(
-      Service service, int maxBodyBytes, boolean pathIncludesQuery, Duration replyTimeout) {
+      Service service, int maxBodyBytes, ServerTimeouts timeouts, boolean pathIncludesQuery) {
     this.service = service;
     this.maxBodyBytes = maxBodyBytes;
     this.pathIncludesQuery = pathIncludesQuery;
-    this.replyTimeout = replyTimeout;
+    this.timeouts = timeouts;
   }
 
   @Override
@@ -54,11 +50,15 @@
       return;
     }
     exchange.setMaxEntitySize(maxBodyBytes);
-    BodyReader.receive(exchange, body -> serve(exchange, body), () -> rejectBody(exchange));
+    BodyReader.receive(
+        exchange,
+        timeouts.transfer(),
+        body -> serve(exchange, body),
+        () -> rejectBody(exchange));
   }
 
   private void serve(HttpServerExchange exchange, byte[] body) {
-    ExchangeReply reply = new ExchangeReply(exchange);
+    ExchangeReply reply = new ExchangeReply(exchange, timeouts);
     String method = exchange.getRequestMethod().toString();
     String path = pathIncludesQuery ? pathWithQuery(exchange) : exchange.getRequestPath();
     try {
@@ -68,7 +68,7 @@
       reply.send(500, NO_BODY);
     }
     if (!reply.sent) {
-      reply.startTimeout(replyTimeout);
+      reply.startTimeout();
       exchange.dispatch(); // Keeps the exchange open until the response is sent later.
     }
   }
@@ -95,19 +95,24 @@
 
   private static final class ExchangeReply implements Reply {
     private final HttpServerExchange exchange;
+    private final ServerTimeouts timeouts;
     private boolean sent;
     private XnioExecutor.Key timeout;
 
-    ExchangeReply(HttpServerExchange exchange) {
+    ExchangeReply(HttpServerExchange exchange, ServerTimeouts timeouts) {
       this.exchange = exchange;
+      this.timeouts = timeouts;
     }
 
     /** Makes sure that the request is answered; its client has probably given up by then. */
-    void startTimeout(Duration delay) {
-      timeout =
-          exchange
-              .getIoThread()
-              .executeAfter(this::onTimeout, delay.toNanos(), TimeUnit.NANOSECONDS);
+    void startTimeout() {
+      Duration delay = timeouts.reply();
+      if (!delay.isZero()) {
+        timeout =
+            exchange
+                .getIoThread()
+                .executeAfter(this::onTimeout, delay.toNanos(), TimeUnit.NANOSECONDS);
+      }
     }
 
     private void onTimeout() {
@@ -131,6 +136,20 @@
         exchange.getResponseHeaders().put(Headers.RETRY_AFTER, retryAfterS);
       }
       exchange.getResponseSender().send(ByteBuffer.wrap(body));
+      if (!exchange.isComplete()) {
+        limitTransfer();
+      }
+    }
+
+    /** Closes the connection if the client doesn't read the rest of the response in time. */
+    private void limitTransfer() {
+      ConnectionTimeout transfer =
+          ConnectionTimeout.start(exchange, timeouts.transfer(), "the reading of a response");
+      exchange.addExchangeCompleteListener(
+          (completed, next) -> {
+            transfer.cancel();
+            next.proceed();
+          });
     }
   }
 }
--- a/src/main/java/io/tansystack/http/UndertowHttpClient.java
+++ b/src/main/java/io/tansystack/http/UndertowHttpClient.java
@@ -2,94 +2,72 @@
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
-import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.URI;
-import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.xnio.ChannelListener;
-import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.XnioIoThread;
-import org.xnio.channels.StreamSinkChannel;
-import org.xnio.channels.StreamSourceChannel;
 
 /**
  * Undertow's client with a small pool of persistent connections for each address. Everything runs
  * on the event loop's thread. The numbers of waiting requests and of connections per address are
- * limited. A request that gets no response in time closes its connection, so that a late response
- * can't be taken for that of another request.
+ * limited. A request that gets no response in time closes its connection, and a connection that
+ * stays idle is closed too: one to a machine without power shows no other sign of its end.
  */
 public final class UndertowHttpClient implements HttpClient {
+  /** Idle connections are looked for this many times within the idle timeout. */
+  private static final int SWEEPS_PER_TIMEOUT = 4;
+
   private static final Logger log = LoggerFactory.getLogger(UndertowHttpClient.class);
-  private static final int MAX_WAITING_CALLS = 256;
-  private static final int MAX_ABANDONED_CONNECTS = 4;
-  private static final int MAX_RESPONSE_BYTES = 64 << 20;
 
   private final XnioIoThread thread;
   private final EventLoop loop;
   private final ByteBufferPool buffers;
   private final int maxConnectionsPerAddress;
-  private final Map<InetSocketAddress, Pool> pools = new HashMap<>();
+  private final Duration idleTimeout;
+  private final Map<InetSocketAddress, ConnectionPool> pools = new HashMap<>();
+  private boolean sweepScheduled;
 
+  /** A client that keeps idle connections until the other side closes them. */
   public UndertowHttpClient(
       XnioIoThread thread, EventLoop loop, ByteBufferPool buffers, int maxConnectionsPerAddress) {
+    this(thread, loop, buffers, maxConnectionsPerAddress, null);
+  }
+
+  /** @param idleTimeout connections are closed when they have been idle for this long; null: never */
+  public UndertowHttpClient(
+      XnioIoThread thread,
+      EventLoop loop,
+      ByteBufferPool buffers,
+      int maxConnectionsPerAddress,
+      Duration idleTimeout) {
     this.thread = thread;
     this.loop = loop;
     this.buffers = buffers;
     this.maxConnectionsPerAddress = maxConnectionsPerAddress;
+    this.idleTimeout = idleTimeout;
   }
 
-  /** Connections to one address, and the calls that wait for one. */
-  private static final class Pool {
-    final ArrayDeque<ClientConnection> idle = new ArrayDeque<>();
-    final ArrayDeque<Call> waiting = new ArrayDeque<>();
-
-    /** Connection attempts in progress, without the abandoned ones. */
-    int activeConnects;
-
-    /** Connection attempts whose calls have timed out; they may hang in the network for minutes. */
-    int abandonedConnects;
-
-    int openConnections;
+  /** The number of open connections. */
+  public int openConnections() {
+    return pools.values().stream().mapToInt(ConnectionPool::openConnections).sum();
   }
 
-  private static final class Call {
-    final InetSocketAddress address;
-    final Pool pool;
-    final ClientRequest request;
-    final byte[] body;
-    final ResponseHandler handler;
-    EventLoop.Timer timer;
-    ClientConnection connection;
-    boolean finished;
-
-    Call(
-        InetSocketAddress address,
-        Pool pool,
-        ClientRequest request,
-        byte[] body,
-        ResponseHandler handler) {
-      this.address = address;
-      this.pool = pool;
-      this.request = request;
-      this.body = body;
-      this.handler = handler;
-    }
+  /** The number of addresses of which anything is remembered. */
+  int knownAddresses() {
+    return pools.size();
   }
 
   @Override
@@ -100,9 +78,31 @@
       byte[] body,
       Duration timeout,
       ResponseHandler handler) {
-    Pool pool = pools.computeIfAbsent(address, key -> new Pool());
-    ClientRequest request =
-        new ClientRequest().setMethod(new HttpString(method)).setPath(path);
+    ConnectionPool pool =
+        pools.computeIfAbsent(
+            address, key -> new ConnectionPool(key, loop, maxConnectionsPerAddress));
+    ClientCall call =
+        new ClientCall(
+            request(address, method, path, body),
+            body,
+            buffers,
+            handler,
+            // Deferred, so that Undertow has finished this exchange before the connection is reused.
+            connection -> loop.execute(() -> pool.assignOrKeepIdle(connection)));
+    call.timer(loop.after(timeout, () -> fail(pool, call, false)));
+    try {
+      sendOrEnqueue(pool, call);
+    } catch (RuntimeException e) {
+      log.error("{} {} can't be sent to {}", method, path, address, e);
+      boolean nothingSent = !call.started();
+      loop.execute(() -> fail(pool, call, nothingSent));
+    }
+    scheduleSweep();
+  }
+
+  private static ClientRequest request(
+      InetSocketAddress address, String method, String path, byte[] body) {
+    ClientRequest request = new ClientRequest().setMethod(new HttpString(method)).setPath(path);
     request
         .getRequestHeaders()
         .put(Headers.HOST, address.getHostString() + ":" + address.getPort());
@@ -110,250 +110,106 @@
       request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
       request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/cbor");
     }
-    Call call = new Call(address, pool, request, body, handler);
-    call.timer = loop.after(timeout, () -> fail(call, false));
-    try {
-      sendOrWait(call);
-    } catch (RuntimeException e) {
-      log.error("request {} {} to {} can't be sent", method, path, address, e);
-      boolean nothingSent = call.connection == null;
-      loop.execute(() -> fail(call, nothingSent));
-    }
+    return request;
   }
 
-  /** Sends the request on an idle connection, or lets it wait for a new one. */
-  private void sendOrWait(Call call) {
-    Pool pool = call.pool;
-    ClientConnection connection;
-    while ((connection = pool.idle.pollLast()) != null) {
-      if (connection.isOpen()) {
-        send(call, connection);
-        return;
-      }
+  private void sendOrEnqueue(ConnectionPool pool, ClientCall call) {
+    ClientConnection connection = pool.pollIdle();
+    if (connection != null) {
+      call.send(connection);
+    } else if (pool.enqueue(call)) {
+      connectIfNeeded(pool);
+    } else {
+      loop.execute(() -> fail(pool, call, true));
     }
-    if (pool.waiting.size() >= MAX_WAITING_CALLS) {
-      loop.execute(() -> fail(call, true));
-      return;
+  }
+
+  private void fail(ConnectionPool pool, ClientCall call, boolean refused) {
+    if (!call.finished()) {
+      pool.abandon(call);
+      call.fail(refused);
     }
-    pool.waiting.add(call);
-    connectIfNeeded(call.address, pool);
   }
 
   /** Opens a connection if calls wait for one and the limit per address allows it. */
-  private void connectIfNeeded(InetSocketAddress address, Pool pool) {
-    if (pool.activeConnects >= pool.waiting.size()
-        || pool.openConnections + pool.activeConnects >= maxConnectionsPerAddress) {
+  private void connectIfNeeded(ConnectionPool pool) {
+    if (!pool.beginConnect()) {
       return;
     }
-    pool.activeConnects++;
+    InetSocketAddress address = pool.address;
     URI uri = URI.create("http://" + address.getHostString() + ":" + address.getPort());
-    UndertowClient.getInstance()
-        .connect(
-            new ClientCallback<ClientConnection>() {
-              @Override
-              public void completed(ClientConnection connection) {
-                loop.execute(() -> onConnected(address, pool, connection));
-              }
+    ClientCallback<ClientConnection> callback =
+        new ClientCallback<>() {
+          @Override
+          public void completed(ClientConnection connection) {
+            loop.execute(() -> onConnected(pool, connection));
+          }
 
-              @Override
-              public void failed(IOException e) {
-                loop.execute(() -> onConnectFailed(address, pool, e));
-              }
-            },
-            uri,
-            thread,
-            buffers,
-            OptionMap.EMPTY);
+          @Override
+          public void failed(IOException e) {
+            loop.execute(() -> onConnectFailed(pool, e));
+          }
+        };
+    try {
+      UndertowClient.getInstance().connect(callback, uri, thread, buffers, OptionMap.EMPTY);
+    } catch (RuntimeException e) {
+      log.error("connecting to {} failed", address, e);
+      callback.failed(new IOException(e));
+    }
   }
 
-  private void onConnected(InetSocketAddress address, Pool pool, ClientConnection connection) {
-    connectEnded(pool);
-    pool.openConnections++;
+  private void onConnected(ConnectionPool pool, ClientConnection connection) {
+    if (!connection.isOpen()) {
+      // Closed by the other side since; its close listener would never be called.
+      onConnectFailed(pool, new IOException("closed at once"));
+      return;
+    }
+    pool.endConnect();
+    pool.opened();
     connection
         .getCloseSetter()
         .set(
             closed -> {
-              pool.openConnections--;
-              pool.idle.remove(connection);
-              connectIfNeeded(address, pool);
+              pool.closed(connection);
+              connectIfNeeded(pool);
             });
-    assignOrKeepIdle(pool, connection);
+    pool.assignOrKeepIdle(connection);
   }
 
-  private void onConnectFailed(InetSocketAddress address, Pool pool, IOException e) {
-    connectEnded(pool);
-    boolean refused = e instanceof ConnectException;
-    Call call = pool.waiting.poll();
+  private void onConnectFailed(ConnectionPool pool, IOException e) {
+    pool.endConnect();
+    ClientCall call = pool.pollWaiting();
     if (call != null) {
-      fail(call, refused);
+      call.fail(e instanceof ConnectException);
     }
-    connectIfNeeded(address, pool);
+    connectIfNeeded(pool);
   }
 
-  /** Counts a connection attempt as ended: as an abandoned one while there are any. */
-  private static void connectEnded(Pool pool) {
-    if (pool.abandonedConnects > 0) {
-      pool.abandonedConnects--;
-    } else {
-      pool.activeConnects--;
+  @Override
+  public void release(InetSocketAddress address) {
+    ConnectionPool pool = pools.get(address);
+    if (pool != null) {
+      pool.closeIdleSince(loop.now());
     }
   }
 
-  /** Gives a free connection to the call that has waited longest, or keeps it for later calls. */
-  private void assignOrKeepIdle(Pool pool, ClientConnection connection) {
-    if (!connection.isOpen()) {
-      return;
-    }
-    Call call;
-    while ((call = pool.waiting.poll()) != null) {
-      if (!call.finished) {
-        send(call, connection);
-        return;
-      }
+  private void scheduleSweep() {
+    if (idleTimeout != null && !sweepScheduled) {
+      sweepScheduled = true;
+      loop.after(idleTimeout.dividedBy(SWEEPS_PER_TIMEOUT), this::sweep);
     }
-    pool.idle.addLast(connection);
   }
 
-  /** Ends the call without a response, unless it has finished already. */
-  private void fail(Call call, boolean refused) {
-    if (call.finished) {
-      return;
-    }
-    call.finished = true;
-    call.timer.cancel();
-    if (call.pool.waiting.remove(call)
-        && call.pool.activeConnects > 0
-        && call.pool.abandonedConnects < MAX_ABANDONED_CONNECTS) {
-      call.pool.activeConnects--;
-      call.pool.abandonedConnects++;
+  /** Closes connections that have been idle for too long, and forgets pools that hold nothing. */
+  private void sweep() {
+    sweepScheduled = false;
+    Duration idleSince = loop.now().minus(idleTimeout);
+    for (ConnectionPool pool : List.copyOf(pools.values())) {
+      pool.closeIdleSince(idleSince);
     }
-    IoUtils.safeClose(call.connection);
-    XnioEventLoop.runLoggingErrors(() -> call.handler.onNoResponse(refused));
-  }
-
-  private void send(Call call, ClientConnection connection) {
-    call.connection = connection;
-    connection.sendRequest(
-        call.request,
-        new ClientCallback<ClientExchange>() {
-          @Override
-          public void completed(ClientExchange exchange) {
-            exchange.setResponseListener(
-                new ClientCallback<ClientExchange>() {
-                  @Override
-                  public void completed(ClientExchange answered) {
-                    receive(call, answered);
-                  }
-
-                  @Override
-                  public void failed(IOException e) {
-                    fail(call, false);
-                  }
-                });
-            try {
-              write(call, exchange.getRequestChannel());
-            } catch (IOException e) {
-              fail(call, false);
-            }
-          }
-
-          @Override
-          public void failed(IOException e) {
-            fail(call, false);
-          }
-        });
-  }
-
-  private void write(Call call, StreamSinkChannel channel) throws IOException {
-    if (call.body == null) {
-      channel.shutdownWrites();
-      flush(call, channel);
-      return;
-    }
-    ByteBuffer data = ByteBuffer.wrap(call.body);
-    ChannelListener<StreamSinkChannel> listener =
-        ch -> {
-          try {
-            while (data.hasRemaining()) {
-              if (ch.write(data) == 0) {
-                ch.resumeWrites();
-                return;
-              }
-            }
-            ch.suspendWrites();
-            ch.shutdownWrites();
-            flush(call, ch);
-          } catch (IOException e) {
-            fail(call, false);
-          }
-        };
-    channel.getWriteSetter().set(listener);
-    listener.handleEvent(channel);
-  }
-
-  private void flush(Call call, StreamSinkChannel channel) throws IOException {
-    if (channel.flush()) {
-      return;
-    }
-    channel
-        .getWriteSetter()
-        .set(
-            ch -> {
-              try {
-                if (((StreamSinkChannel) ch).flush()) {
-                  ch.suspendWrites();
-                }
-              } catch (IOException e) {
-                fail(call, false);
-              }
-            });
-    channel.resumeWrites();
-  }
-
-  private void receive(Call call, ClientExchange exchange) {
-    int status = exchange.getResponse().getResponseCode();
-    ByteArrayOutputStream body = new ByteArrayOutputStream();
-    ChannelListener<StreamSourceChannel> listener =
-        ch -> {
-          try (PooledByteBuffer pooled = buffers.allocate()) {
-            ByteBuffer buffer = pooled.getBuffer();
-            while (true) {
-              buffer.clear();
-              int n = ch.read(buffer);
-              if (n == 0) {
-                ch.resumeReads();
-                return;
-              }
-              if (n < 0) {
-                ch.suspendReads();
-                complete(call, status, body.toByteArray());
-                return;
-              }
-              buffer.flip();
-              BodyReader.append(body, buffer);
-              if (body.size() > MAX_RESPONSE_BYTES) {
-                fail(call, false);
-                return;
-              }
-            }
-          } catch (IOException e) {
-            fail(call, false);
-          }
-        };
-    StreamSourceChannel channel = exchange.getResponseChannel();
-    channel.getReadSetter().set(listener);
-    listener.handleEvent(channel);
-  }
-
-  private void complete(Call call, int status, byte[] body) {
-    if (call.finished) {
-      return;
+    pools.values().removeIf(ConnectionPool::unused);
+    if (!pools.isEmpty()) {
+      scheduleSweep();
     }
-    call.finished = true;
-    call.timer.cancel();
-    ClientConnection connection = call.connection;
-    // Deferred, so that Undertow has finished this exchange before the connection is reused.
-    loop.execute(() -> assignOrKeepIdle(call.pool, connection));
-    XnioEventLoop.runLoggingErrors(() -> call.handler.onResponse(status, body));
   }
 }
--- a/src/main/java/io/tansystack/workers/CommandSender.java
+++ b/src/main/java/io/tansystack/workers/CommandSender.java
@@ -76,6 +76,13 @@
     return sentCount.getOrDefault(op, 0L);
   }
 
+  /** Closes the idle connections to a machine that this controller does not command any more. */
+  void release(OwnedMachine machine) {
+    if (machine.address != null) {
+      httpClient.release(machine.address);
+    }
+  }
+
   /** The differences between the machine's newest report and the cluster state. */
   Reconciliation reconciliation(OwnedMachine machine) {
     return Reconciliation.of(
--- a/src/main/java/io/tansystack/workers/WorkerManager.java
+++ b/src/main/java/io/tansystack/workers/WorkerManager.java
@@ -318,6 +318,7 @@
     MachineRecord record = clusterState.machine(machine.name);
     if (!isOwn(record)) {
       machines.remove(machine.name);
+      commandSender.release(machine);
       return;
     }
     Duration now = loop.now();
--- /dev/null
+++ b/src/test/java/io/tansystack/http/HttpServerTest.java
@@ -0,0 +1,137 @@
+package io.tansystack.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Guards against connections that stay open though nobody serves them any more: those of lost
+ * machines used up a controller's sockets, after which it accepted nothing (review/2).
+ */
+@Timeout(30)
+class HttpServerTest {
+  private static final String REQUEST = "GET /up HTTP/1.1\r\nHost: c\r\n\r\n";
+  private static final String OPENED_BODY =
+      "POST /v1/report HTTP/1.1\r\nHost: c\r\nContent-Length: 100\r\n\r\nabc";
+  private static final int RESPONSE_BYTES = 32 << 20;
+
+  private static final ServerTimeouts TIMEOUTS =
+      new ServerTimeouts(
+          Duration.ofMillis(1500), Duration.ofMillis(500), Duration.ofMillis(500));
+
+  /** Time for timers that fire late on a busy machine. */
+  private static final Duration ALLOWANCE = Duration.ofSeconds(3);
+
+  private LoopbackWorker loopback;
+  private HttpServer server;
+  private InetSocketAddress address;
+
+  @BeforeEach
+  void start() throws IOException {
+    loopback = new LoopbackWorker();
+    address = LoopbackWorker.freeAddress();
+    server =
+        new HttpServer(
+            loopback.worker,
+            loopback.buffers,
+            address,
+            (method, path, body, reply) ->
+                reply.send(200, new byte[path.equals("/large") ? RESPONSE_BYTES : 0]),
+            LoopbackWorker.freeAddress(),
+            (method, path, body, reply) -> reply.send(200, new byte[0]),
+            1024,
+            TIMEOUTS);
+    server.start();
+  }
+
+  @AfterEach
+  void stop() {
+    server.stop();
+    loopback.close();
+  }
+
+  private Socket connect(String sent) throws IOException {
+    Socket socket = new Socket();
+    socket.setReceiveBufferSize(4096);
+    socket.connect(address);
+    socket.getOutputStream().write(sent.getBytes(StandardCharsets.US_ASCII));
+    return socket;
+  }
+
+  /** Whether the server closes the connection within the time; what it sends is discarded. */
+  private static boolean closedWithin(Socket socket, Duration time) throws IOException {
+    InputStream in = socket.getInputStream();
+    long deadline = System.nanoTime() + time.toNanos();
+    byte[] buffer = new byte[8192];
+    try {
+      while (true) {
+        socket.setSoTimeout((int) Math.max(1, (deadline - System.nanoTime()) / 1_000_000));
+        if (in.read(buffer) < 0) {
+          return true;
+        }
+      }
+    } catch (SocketTimeoutException e) {
+      return false;
+    } catch (SocketException e) {
+      return true; // Reset.
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", REQUEST, "GET /up HT", OPENED_BODY})
+  void connectionWithoutFurtherRequestIsClosed(String sent) throws IOException {
+    try (Socket socket = connect(sent)) {
+      assertTrue(closedWithin(socket, TIMEOUTS.idle().plus(ALLOWANCE)), "still open after: " + sent);
+    }
+  }
+
+  @Test
+  void connectionWhoseResponseIsNotReadIsClosed() throws Exception {
+    try (Socket socket = connect("GET /large HTTP/1.1\r\nHost: c\r\n\r\n")) {
+      Thread.sleep(TIMEOUTS.transfer().plus(ALLOWANCE).toMillis());
+      int received = 0;
+      byte[] buffer = new byte[1 << 16];
+      InputStream in = socket.getInputStream();
+      socket.setSoTimeout(2000);
+      try {
+        for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
+          received += n;
+        }
+      } catch (SocketException e) {
+        // Reset.
+      }
+      assertTrue(received < RESPONSE_BYTES, "the rest was kept for a client that didn't read");
+    }
+  }
+
+  /** Sound workers report more often than the idle timeout, on one connection. */
+  @Test
+  void connectionInUseIsKept() throws Exception {
+    try (Socket socket = connect("")) {
+      socket.setSoTimeout(5000);
+      byte[] buffer = new byte[8192];
+      for (int i = 0; i < 6; i++) {
+        socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+        int n = socket.getInputStream().read(buffer);
+        assertTrue(n > 0, "closed before request " + i);
+        assertEquals(
+            "HTTP/1.1 200", new String(buffer, 0, 12, StandardCharsets.US_ASCII), "request " + i);
+        Thread.sleep(TIMEOUTS.idle().toMillis() / 3);
+      }
+    }
+  }
+}
--- a/src/test/java/io/tansystack/http/ServiceHandlerTest.java
+++ b/src/test/java/io/tansystack/http/ServiceHandlerTest.java
@@ -13,14 +13,15 @@
 
 /** Guards against requests that get no answer because their processing fails or never ends. */
 class ServiceHandlerTest {
-  private static final Duration REPLY_TIMEOUT = Duration.ofMillis(300);
+  private static final ServerTimeouts TIMEOUTS =
+      new ServerTimeouts(Duration.ZERO, Duration.ZERO, Duration.ofMillis(300));
   private static final int CLIENT_TIMEOUT_MS = 5000;
 
   private static int statusOf(Service service) throws IOException {
     try (LoopbackWorker loopback = new LoopbackWorker()) {
       InetSocketAddress address = LoopbackWorker.freeAddress();
       AddressServer server =
-          new AddressServer(loopback.worker, loopback.buffers, 1024, REPLY_TIMEOUT);
+          new AddressServer(loopback.worker, loopback.buffers, 1024, TIMEOUTS);
       server.listen(address, service);
       HttpURLConnection connection =
           (HttpURLConnection)
