A plan's updates count as being written once nothing can fail before they are sent

Cause: PlanTransaction.send marked a job as being written before its record was encoded and its lines were logged. If that failed, the job would have stayed marked, and would not have been planned again until the process ended.

Change: records and lines first, then the marks and the transaction.

--- a/src/main/java/io/tansystack/jobs/PlanWriter.java
+++ b/src/main/java/io/tansystack/jobs/PlanWriter.java
@@ -329,14 +329,19 @@
       for (JobUpdate update : updates) {
         String id = update.job().id();
         writes.add(new Write(ClusterState.jobKey(id), update.next().write(), 0));
-        lastWrite.put(id, loop.now());
-        schedulingState.writeStarted(update.job(), update.next());
-        logUpdate(update);
+        DroppedPlacementLog.log(id, schedulingState.proofs(id), clusterState.revision());
+        PlanLog.log(plan, update);
       }
       for (String team : teams) {
         String last = updates.get(updates.size() - 1).job().id();
         writes.add(new Write(ClusterState.teamKey(team), Cbor.map().put("job", last), 0));
       }
+      // Nothing can fail from here on until the result arrives, which takes these marks back.
+      for (JobUpdate update : updates) {
+        recordMigrations(update);
+        lastWrite.put(update.job().id(), loop.now());
+        schedulingState.writeStarted(update.job(), update.next());
+      }
       teamsInFlight.addAll(teams);
       store.reserve(writes.size());
       store.commitReserved(conditions, writes, this::onResult);
@@ -374,26 +379,12 @@
     }
   }
 
-  private void logUpdate(JobUpdate update) {
+  private void recordMigrations(JobUpdate update) {
     String id = update.job().id();
-    DroppedPlacementLog.log(id, schedulingState.proofs(id), clusterState.revision());
     for (Plan.Eviction eviction : plan.evictions().getOrDefault(id, List.of())) {
       if (eviction.isMove()) {
         schedulingState.replicaMigrated(id, eviction.machine());
       }
-      log.info(
-          "preempt job={} tasks={} machine={} for={}",
-          id,
-          eviction.tasks(),
-          eviction.machine(),
-          eviction.reason());
-    }
-    if (update.places() && log.isInfoEnabled()) {
-      log.info(
-          "place job={} attempt={} {}",
-          id,
-          update.next().attempt(),
-          plan.placements().get(id).stream().map(a -> a.machine() + "=" + a.tasks()).toList());
     }
   }
 }
