Changes of a notification that failed are told with the next one

The set of changed records was emptied before it was passed on, and records that are read again in the same version count as unchanged: those who follow the cluster state would never have learned of them, a cancellation for instance, while the controller counted as up to date again.

Change: the set is emptied after it was passed on. A record whose application fails keeps its previous version, so that it is applied when it is read again.

--- a/src/main/java/io/tansystack/cluster/ClusterState.java
+++ b/src/main/java/io/tansystack/cluster/ClusterState.java
@@ -181,14 +181,14 @@
     notifyListener();
   }
 
+  /** If the listener fails, the next notification contains these changes too. */
   private void notifyListener() {
-    ClusterStateDelta delta =
-        new ClusterStateDelta(changedJobs, changedMachines, changedPlacements, controllersChanged);
+    listener.accept(
+        new ClusterStateDelta(changedJobs, changedMachines, changedPlacements, controllersChanged));
     changedJobs = new HashSet<>();
     changedMachines = new HashSet<>();
     changedPlacements = new HashSet<>();
     controllersChanged = false;
-    listener.accept(delta);
   }
 
   private void apply(Change change) {
@@ -196,15 +196,15 @@
     if (!key.startsWith(PREFIX) || change.version() <= versions.getOrDefault(key, 0L)) {
       return;
     }
-    if (change.value() == null) {
-      versions.remove(key);
-    } else {
-      versions.put(key, change.version());
-    }
+    Long previousVersion = versions.get(key);
+    put(versions, key, change.value() == null ? null : change.version());
     try {
       applyTyped(key.substring(PREFIX.length()), change.value(), change.version());
     } catch (InvalidMessageException | NumberFormatException e) {
       log.error("ignoring unreadable record {}: {}", key, e.getMessage());
+    } catch (RuntimeException e) {
+      put(versions, key, previousVersion); // So that the record is applied when it is read again.
+      throw e;
     }
   }
 
