--- a/src/main/java/io/tansystack/http/UndertowHttpClient.java
+++ b/src/main/java/io/tansystack/http/UndertowHttpClient.java
@@ -38,7 +38,7 @@
   private final int maxConnectionsPerAddress;
   private final Duration idleTimeout;
   private final Map<InetSocketAddress, ConnectionPool> pools = new HashMap<>();
-  private boolean sweepScheduled;
+  private final DelayedTask nextSweep;
 
   /** A client that keeps idle connections until the other side closes them. */
   public UndertowHttpClient(
@@ -58,6 +58,7 @@
     this.buffers = buffers;
     this.maxConnectionsPerAddress = maxConnectionsPerAddress;
     this.idleTimeout = idleTimeout;
+    this.nextSweep = new DelayedTask(loop, this::sweep);
   }
 
   /** The number of open connections. */
@@ -194,15 +195,13 @@
   }
 
   private void scheduleSweep() {
-    if (idleTimeout != null && !sweepScheduled) {
-      sweepScheduled = true;
-      loop.after(idleTimeout.dividedBy(SWEEPS_PER_TIMEOUT), this::sweep);
+    if (idleTimeout != null) {
+      nextSweep.schedule(idleTimeout.dividedBy(SWEEPS_PER_TIMEOUT));
     }
   }
 
   /** Closes connections that have been idle for too long, and forgets pools that hold nothing. */
   private void sweep() {
-    sweepScheduled = false;
     Duration idleSince = loop.now().minus(idleTimeout);
     for (ConnectionPool pool : List.copyOf(pools.values())) {
       pool.closeIdleSince(idleSince);
--- a/src/main/java/io/tansystack/jobs/JobLookup.java
+++ b/src/main/java/io/tansystack/jobs/JobLookup.java
@@ -3,6 +3,7 @@
 import io.tansystack.cluster.ClusterState.Job;
 import io.tansystack.cluster.ClusterState;
 import io.tansystack.http.Callbacks;
+import io.tansystack.http.DelayedTask;
 import io.tansystack.http.EventLoop;
 import io.tansystack.records.JobRecord;
 import io.tansystack.store.StoreClient.ReadCallback;
@@ -55,7 +56,7 @@
   private final ClusterState clusterState;
   private final Runnable requestConfirmation;
   private final ArrayDeque<WaitingRequest> waiting = new ArrayDeque<>();
-  private boolean servingScheduled;
+  private final DelayedTask serving;
   private Duration upToDateAt;
 
   /**
@@ -68,6 +69,7 @@
     this.store = store;
     this.clusterState = clusterState;
     this.requestConfirmation = requestConfirmation;
+    this.serving = new DelayedTask(loop, this::serveWaiting);
   }
 
   /** Called when the cache contains every change committed before {@code at}. */
@@ -93,19 +95,7 @@
    */
   void whenUpToDate(Consumer<Boolean> callback) {
     waiting.add(new WaitingRequest(loop.now(), callback));
-    scheduleServing(CONFIRM_DELAY);
-  }
-
-  private void scheduleServing(Duration delay) {
-    if (!servingScheduled) {
-      servingScheduled = true;
-      loop.after(
-          delay,
-          () -> {
-            servingScheduled = false;
-            serveWaiting();
-          });
-    }
+    serving.schedule(CONFIRM_DELAY);
   }
 
   /**
@@ -126,10 +116,10 @@
   private void requestConfirmationIfDue(Duration now) {
     Duration remaining = CONFIRM_DELAY.minus(now.minus(waiting.peek().requestedAt));
     if (!remaining.isNegative() && !remaining.isZero()) {
-      scheduleServing(remaining);
+      serving.schedule(remaining);
       return;
     }
-    scheduleServing(CONFIRM_DELAY);
+    serving.schedule(CONFIRM_DELAY);
     requestConfirmation.run();
   }
 
--- a/src/main/java/io/tansystack/jobs/PlanWriter.java
+++ b/src/main/java/io/tansystack/jobs/PlanWriter.java
@@ -2,6 +2,7 @@
 
 import io.tansystack.cluster.ClusterState;
 import io.tansystack.cluster.SlotManager;
+import io.tansystack.http.DelayedTask;
 import io.tansystack.http.EventLoop;
 import io.tansystack.jobs.JobUpdateBuilder.JobUpdate;
 import io.tansystack.records.RecordSizeLimit;
@@ -86,7 +87,9 @@
   private final Duration arrayInterval;
   private Plan plan;
   private Duration progressInterval = Duration.ZERO;
-  private boolean retryScheduled;
+
+  /** Writes what remains before the next pass, which may take long or start late. */
+  private final DelayedTask retry;
 
   /** Updates of the plan that are not written yet, most urgent first. */
   private List<JobUpdate> remaining = List.of();
@@ -119,6 +122,7 @@
     this.teams = settings.teams();
     this.writesPerSecond = settings.stateServiceLimits().writeRps();
     this.requestPass = requestPass;
+    this.retry = new DelayedTask(loop, this::writeRemaining);
     // Several arrays run at a time, so each may use only a twentieth of the write limit.
     this.arrayInterval = Duration.ofMillis((long) (20_000 / writesPerSecond));
   }
@@ -173,7 +177,7 @@
       }
       if (store.availableWrites() < minBatchSize(ready)) {
         retryDelay = RETRY_DELAY;
-        scheduleRetry();
+        retry.schedule(BUDGET_RETRY_DELAY);
         break;
       }
       PlanTransaction transaction = new PlanTransaction();
@@ -185,22 +189,6 @@
     return retryDelay;
   }
 
-  /**
-   * Schedules another run of {@link #writeRemaining} before the next pass. That pass may take long
-   * or start late, and write budget that is not used in the meantime is lost.
-   */
-  private void scheduleRetry() {
-    if (!retryScheduled) {
-      retryScheduled = true;
-      loop.after(
-          BUDGET_RETRY_DELAY,
-          () -> {
-            retryScheduled = false;
-            writeRemaining();
-          });
-    }
-  }
-
   /** Returns after how long the update may be written; negative if it may be written now. */
   private Duration dueIn(JobUpdate update) {
     Duration last = lastWrite.get(update.job().id());
--- a/src/main/java/io/tansystack/jobs/SubmissionWriter.java
+++ b/src/main/java/io/tansystack/jobs/SubmissionWriter.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.cluster.ClusterState;
 import io.tansystack.http.Callbacks;
+import io.tansystack.http.DelayedTask;
 import io.tansystack.http.EventLoop;
 import io.tansystack.records.JobRecord;
 import io.tansystack.settings.PlatformSettings;
@@ -61,7 +62,7 @@
   private final int maxJobs;
   private final int maxSize;
   private final ArrayDeque<PendingSubmission> pending = new ArrayDeque<>();
-  private boolean flushScheduled;
+  private final DelayedTask flush;
   private long batchCounter;
 
   /** @param incarnation the process incarnation ID, with which names of submission batches begin */
@@ -70,6 +71,7 @@
     this.loop = loop;
     this.store = store;
     this.incarnation = incarnation;
+    this.flush = new DelayedTask(loop, this::flush);
     PlatformSettings.StateServiceLimits limits = settings.stateServiceLimits();
     double perSecond =
         Math.max(
@@ -91,19 +93,7 @@
       return;
     }
     pending.add(new PendingSubmission(record, Cbor.jsonSize(record.write()) + 1, callback));
-    scheduleFlush(BATCH_DELAY);
-  }
-
-  private void scheduleFlush(Duration delay) {
-    if (!flushScheduled) {
-      flushScheduled = true;
-      loop.after(
-          delay,
-          () -> {
-            flushScheduled = false;
-            flush();
-          });
-    }
+    flush.schedule(BATCH_DELAY);
   }
 
   private void flush() {
@@ -113,7 +103,7 @@
       }
     } finally {
       if (!pending.isEmpty()) {
-        scheduleFlush(RETRY_DELAY);
+        flush.schedule(RETRY_DELAY);
       }
     }
   }
--- a/src/main/java/io/tansystack/recovery/CommandThrottle.java
+++ b/src/main/java/io/tansystack/recovery/CommandThrottle.java
@@ -1,6 +1,7 @@
 package io.tansystack.recovery;
 
 import io.tansystack.cluster.PlacementIndex.IndexedPlacement;
+import io.tansystack.http.DelayedTask;
 import io.tansystack.http.EventLoop;
 import io.tansystack.store.RateBudget;
 import io.tansystack.wire.JobSpec;
@@ -34,9 +35,9 @@
   /** The machines whose commands are held back, by urgency, each in the order of arrival. */
   private final List<Set<String>> waitingMachines = new ArrayList<>();
 
+  private final DelayedTask nextTick;
   private RateBudget budget;
   private Duration activeUntil = Duration.ZERO;
-  private boolean timerPending;
   private String retriedMachine;
 
   /**
@@ -46,6 +47,7 @@
   public CommandThrottle(EventLoop loop, Consumer<String> retry) {
     this.loop = loop;
     this.retry = retry;
+    this.nextTick = new DelayedTask(loop, this::tick);
     for (int i = 0; i <= Reconciliation.FORGET_URGENCY; i++) {
       waitingMachines.add(new LinkedHashSet<>());
     }
@@ -111,7 +113,7 @@
           waitingMachines.get(other).remove(machine);
         }
       }
-      scheduleTick();
+      nextTick.schedule(TICK_INTERVAL);
     }
     return false;
   }
@@ -120,19 +122,11 @@
     return waitingMachines.subList(0, urgency + 1).stream().allMatch(Set::isEmpty);
   }
 
-  private void scheduleTick() {
-    if (!timerPending) {
-      timerPending = true;
-      loop.after(TICK_INTERVAL, this::tick);
-    }
-  }
-
   private void tick() {
-    timerPending = false;
     for (Set<String> machines : waitingMachines) {
       while (!machines.isEmpty()) {
         if (active() && budget.available(loop.now()) < 1) {
-          scheduleTick();
+          nextTick.schedule(TICK_INTERVAL);
           return;
         }
         retry(machines);
@@ -151,7 +145,7 @@
     } finally {
       retriedMachine = null;
       if (!succeeded) {
-        scheduleTick();
+        nextTick.schedule(TICK_INTERVAL);
       }
     }
   }
--- a/src/main/java/io/tansystack/store/StoreClient.java
+++ b/src/main/java/io/tansystack/store/StoreClient.java
@@ -1,6 +1,7 @@
 package io.tansystack.store;
 
 import io.tansystack.http.CborResponseHandler;
+import io.tansystack.http.DelayedTask;
 import io.tansystack.http.EventLoop;
 import io.tansystack.http.HttpClient;
 import io.tansystack.wire.Cbor;
@@ -74,7 +75,7 @@
   private final RateBudget budget;
   private final Random random;
   private final ArrayDeque<QueuedTransaction> urgentQueue = new ArrayDeque<>();
-  private boolean drainScheduled;
+  private final DelayedTask drain;
   private Duration lastSuccess;
 
   public StoreClient(
@@ -89,6 +90,7 @@
     this.budget = budget;
     this.random = random;
     this.lastSuccess = loop.now();
+    this.drain = new DelayedTask(loop, this::drainQueue);
   }
 
   /** Sets this controller's share of the write limit. */
@@ -146,7 +148,7 @@
       sendQueued();
     } finally {
       if (!urgentQueue.isEmpty()) {
-        scheduleDrain();
+        drain.schedule(DRAIN_INTERVAL);
       }
     }
   }
@@ -167,18 +169,6 @@
     }
   }
 
-  private void scheduleDrain() {
-    if (!drainScheduled) {
-      drainScheduled = true;
-      loop.after(
-          DRAIN_INTERVAL,
-          () -> {
-            drainScheduled = false;
-            drainQueue();
-          });
-    }
-  }
-
   /** A transaction over the rate limit changed nothing, so it is retried until its deadline. */
   private void sendUrgent(QueuedTransaction queued) {
     send(
--- a/src/main/java/io/tansystack/workers/ClaimBatcher.java
+++ b/src/main/java/io/tansystack/workers/ClaimBatcher.java
@@ -4,6 +4,7 @@
 import io.tansystack.cluster.ClusterState;
 import io.tansystack.cluster.MachineRecord;
 import io.tansystack.http.Callbacks;
+import io.tansystack.http.DelayedTask;
 import io.tansystack.http.EventLoop;
 import io.tansystack.store.StoreClient.CommitCallback;
 import io.tansystack.store.StoreClient.CommitResult;
@@ -48,7 +49,7 @@
   private final StoreClient store;
   private final String incarnation;
   private final ArrayDeque<Claim> waiting = new ArrayDeque<>();
-  private boolean writeScheduled;
+  private final DelayedTask nextWrite;
   private Duration lastWriteAt = Duration.ofDays(-1);
   private long batchCounter;
 
@@ -57,6 +58,7 @@
     this.loop = loop;
     this.store = store;
     this.incarnation = incarnation;
+    this.nextWrite = new DelayedTask(loop, this::write);
   }
 
   /** Queues a claim of a machine that has no record; false if too many are waiting already. */
@@ -65,16 +67,12 @@
       return false;
     }
     waiting.add(new Claim(record, callback));
-    if (!writeScheduled) {
-      writeScheduled = true;
-      Duration delay = lastWriteAt.plus(MIN_INTERVAL).minus(loop.now());
-      loop.after(delay.compareTo(BATCH_DELAY) > 0 ? delay : BATCH_DELAY, this::write);
-    }
+    Duration delay = lastWriteAt.plus(MIN_INTERVAL).minus(loop.now());
+    nextWrite.schedule(delay.compareTo(BATCH_DELAY) > 0 ? delay : BATCH_DELAY);
     return true;
   }
 
   private void write() {
-    writeScheduled = false;
     lastWriteAt = loop.now();
     List<Claim> claims = List.copyOf(waiting);
     waiting.clear();
