--- a/src/main/java/io/tansystack/cluster/ControllerLease.java
+++ b/src/main/java/io/tansystack/cluster/ControllerLease.java
@@ -1,5 +1,6 @@
 package io.tansystack.cluster;
 
+import com.google.common.collect.Comparators;
 import io.tansystack.http.EventLoop;
 import io.tansystack.store.StoreClient.CommitResult;
 import io.tansystack.store.StoreClient;
@@ -75,9 +76,7 @@
     Duration available = cancel.minus(workerLease).multipliedBy(7).dividedBy(10);
     Duration longest = Duration.ofSeconds(30);
     Duration shortest = Duration.ofMillis(500);
-    return available.compareTo(longest) > 0
-        ? longest
-        : available.compareTo(shortest) < 0 ? shortest : available;
+    return Comparators.min(Comparators.max(available, shortest), longest);
   }
 
   /**
@@ -90,11 +89,8 @@
     Duration wanted = workerLease.dividedBy(4);
     Duration shortest = Duration.ofSeconds(3);
     Duration longest = Duration.ofSeconds(8);
-    wanted =
-        wanted.compareTo(shortest) < 0
-            ? shortest
-            : wanted.compareTo(longest) > 0 ? longest : wanted;
-    return wanted.compareTo(leaseDuration) > 0 ? leaseDuration : wanted;
+    Duration bounded = Comparators.min(Comparators.max(wanted, shortest), longest);
+    return Comparators.min(bounded, leaseDuration);
   }
 
   public void start() {
--- a/src/main/java/io/tansystack/http/HttpClient.java
+++ b/src/main/java/io/tansystack/http/HttpClient.java
@@ -21,8 +21,8 @@
   }
 
   /**
-   * Sends a request. This never throws an exception: a request that can't be sent is reported to
-   * the handler like one that was refused.
+   * Sends a request. This never throws an exception: for a request that can't be sent, the handler
+   * learns that there is no response.
    *
    * @param body null for a request without a body
    * @param timeout a request without a response within this time counts as having none
--- a/src/main/java/io/tansystack/http/HttpServer.java
+++ b/src/main/java/io/tansystack/http/HttpServer.java
@@ -11,7 +11,8 @@
 /**
  * Undertow's server for a controller's front and peer addresses. It runs on the event loop's thread
  * and reads each request body completely, up to a size limit, before the service is called.
- * Connections that nobody serves any more are closed in the time that {@link ServerTimeouts} states.
+ * Connections that nobody serves any more are closed in the time that {@link ServerTimeouts}
+ * states.
  */
 public final class HttpServer {
   /** Limit of request bodies on the front address; longer ones are rejected unread. */
--- a/src/main/java/io/tansystack/http/ServerTimeouts.java
+++ b/src/main/java/io/tansystack/http/ServerTimeouts.java
@@ -1,5 +1,6 @@
 package io.tansystack.http;
 
+import com.google.common.collect.Comparators;
 import java.time.Duration;
 
 /**
@@ -29,9 +30,8 @@
    * lease only after the lease has expired.
    */
   public static ServerTimeouts ofController(Duration workerLease) {
-    Duration idle = workerLease.compareTo(MIN_IDLE) < 0 ? MIN_IDLE : workerLease;
-    return new ServerTimeouts(
-        idle.compareTo(MAX_IDLE) > 0 ? MAX_IDLE : idle, CONTROLLER_TIMEOUT, CONTROLLER_TIMEOUT);
+    Duration idle = Comparators.min(Comparators.max(workerLease, MIN_IDLE), MAX_IDLE);
+    return new ServerTimeouts(idle, CONTROLLER_TIMEOUT, CONTROLLER_TIMEOUT);
   }
 
   /** The duration as an option of Undertow, where -1 stands for no limit. */
--- a/src/main/java/io/tansystack/http/UndertowHttpClient.java
+++ b/src/main/java/io/tansystack/http/UndertowHttpClient.java
@@ -46,7 +46,7 @@
     this(thread, loop, buffers, maxConnectionsPerAddress, null);
   }
 
-  /** @param idleTimeout connections are closed when they have been idle for this long; null: never */
+  /** @param idleTimeout connections that have been idle for this long are closed; null: never */
   public UndertowHttpClient(
       XnioIoThread thread,
       EventLoop loop,
@@ -88,7 +88,7 @@
             body,
             buffers,
             handler,
-            // Deferred, so that Undertow has finished this exchange before the connection is reused.
+            // Deferred: Undertow has to finish this exchange before the connection is reused.
             connection -> loop.execute(() -> pool.assignOrKeepIdle(connection)));
     call.timer(loop.after(timeout, () -> fail(pool, call, false)));
     try {
