Failing test: a start command that arrives once more is executed again after forget

The simulated network can now deliver requests of every kind once more after they were answered (RequestRepeater).

--- a/src/main/java/io/tansystack/emulator/EmulatedWorker.java
+++ b/src/main/java/io/tansystack/emulator/EmulatedWorker.java
@@ -394,6 +394,11 @@
     environment.onChanged(this);
   }
 
+  /** All attempts that the worker holds, exited and refused ones included, each as task#attempt. */
+  public Set<String> heldAttempts() {
+    return Set.copyOf(tasks.keySet());
+  }
+
   /** Tasks that have not exited, each as task#attempt#session. */
   public List<String> liveAttempts() {
     return dead
--- a/src/test/java/io/tansystack/sim/SimNetwork.java
+++ b/src/test/java/io/tansystack/sim/SimNetwork.java
@@ -15,6 +15,7 @@
 import io.tansystack.settings.OperatorSettings;
 import io.tansystack.settings.PlatformSettings;
 import io.tansystack.settings.SettingsTest;
+import io.tansystack.sim.RequestRepeater.Receiver;
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.InvalidMessageException;
 import io.tansystack.wire.JobSpec;
@@ -54,6 +55,10 @@
   final List<String> startedTasks = new ArrayList<>();
   final Set<String> violations = new HashSet<>();
   Random random = new Random(1);
+
+  /** Copies of requests that were executed and answered; inactive unless a test configures it. */
+  final RequestRepeater repeater = new RequestRepeater(this);
+
   int controllerCount = 1;
 
   /** The platform's settings; label, zone, addresses and size are replaced for each controller. */
@@ -257,7 +262,7 @@
     if (peer >= 0) {
       return zoneOf(peer);
     }
-    EmulatedWorker worker = workers.get(String.format("n-%06d", to.getPort() - 9000));
+    EmulatedWorker worker = workers.get(machineName(to));
     return worker == null ? "" : worker.zone();
   }
 
@@ -387,10 +392,50 @@
                               respondOrCorrupt(to, path, status, answer, handler);
                             }
                           }));
-      loop.after(requestDelay, () -> deliver(to, method, path, body, respond));
+      BiConsumer<Integer, byte[]> respondAndRepeat =
+          (status, answer) -> {
+            if (!lost && status == 200 && !method.equals("GET")) {
+              repeater.onAnswered(receiver(to, peer), () -> deliverCopy(to, method, path, body));
+            }
+            respond.accept(status, answer);
+          };
+      loop.after(requestDelay, () -> deliver(to, method, path, body, respondAndRepeat));
     };
   }
 
+  private static Receiver receiver(InetSocketAddress to, int peer) {
+    if (to.equals(STORE)) {
+      return Receiver.STORE;
+    }
+    if (to.equals(CLOUD)) {
+      return Receiver.CLOUD;
+    }
+    return peer >= 0 ? Receiver.PEER : Receiver.WORKER;
+  }
+
+  /** Delivers a request once more; a worker that hangs executes it when it continues. */
+  private void deliverCopy(InetSocketAddress to, String method, String path, byte[] body) {
+    EmulatedWorker worker = to.getPort() < 9000 ? null : workers.get(machineName(to));
+    if (worker != null && worker.isHung()) {
+      Duration wait = worker.hungUntil().minus(loop.now());
+      loop.after(wait, () -> deliverCopy(to, method, path, body));
+      return;
+    }
+    Set<String> heldBefore = worker == null ? Set.of() : worker.heldAttempts();
+    deliver(to, method, path, body, (status, answer) -> {});
+    if (worker != null) {
+      for (String attempt : worker.heldAttempts()) {
+        if (!heldBefore.contains(attempt)) {
+          repeater.executedAgain.add(attempt + "@" + worker.name());
+        }
+      }
+    }
+  }
+
+  private static String machineName(InetSocketAddress workerAddress) {
+    return String.format("n-%06d", workerAddress.getPort() - 9000);
+  }
+
   private void respondOrCorrupt(
       InetSocketAddress from, String path, int status, byte[] answer, HttpClient.ResponseHandler handler) {
     String source =
--- a/src/test/java/io/tansystack/sim/SimUsers.java
+++ b/src/test/java/io/tansystack/sim/SimUsers.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.cli.Controller;
+import io.tansystack.sim.RequestRepeater.Receiver;
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.JobKind;
 import io.tansystack.wire.JobSpec;
@@ -256,6 +257,15 @@
     }
   }
 
+  /** Delivers a request once more to a controller, if it is running. */
+  private void deliverCopy(int target, String method, String path, byte[] body) {
+    Controller controller = cluster.controllers.get(target);
+    if (controller != null) {
+      cluster.processes.get(target).run(
+          () -> controller.handleFront(method, path, body, (status, bytes, retry) -> {}));
+    }
+  }
+
   /** Sends a request to a controller; the callback gets status 0 if no response comes in time. */
   private void request(
       int controllerIndex, String method, String path, byte[] body, Duration timeout,
@@ -278,6 +288,9 @@
       return;
     }
     cluster.processes.get(target).run(() -> controller.handleFront(method, path, body, (status, bytes, retry) -> {
+      if (method.equals("POST") && status < 300) {
+        cluster.repeater.onAnswered(Receiver.USER_API, () -> deliverCopy(target, method, path, body));
+      }
       if (!finished[0] && !cluster.isolated.contains(target) && !cluster.cutOff(target)) {
         finished[0] = true;
         callback.accept(status, bytes);
