The token by which a worker may forget is a revision that its owner has seen

Change: an owner raises the token without a write, to any revision that its cluster state shows while it shows it as the owner. The next owner's token is the revision of a write that this cluster state does not show, so it is higher, also that of an older version or after a rollback; records and the tokens that follow from them are unchanged. An attempt is forgotten under a revision at which its record no longer held it, which is later than that of its start command. So nothing is held longer than before, and TokenRaiser and RetainedAttempts go. The revision of the cluster state is now set after its changes were applied, not before.

--- a/src/main/java/io/tansystack/cluster/ClusterState.java
+++ b/src/main/java/io/tansystack/cluster/ClusterState.java
@@ -173,12 +173,11 @@
 
   @Override
   public void changes(List<Change> changes, long atRevision) {
+    changes.forEach(this::apply);
     revision = Math.max(revision, atRevision);
-    if (changes.isEmpty()) {
-      return;
+    if (!changes.isEmpty()) {
+      notifyListener();
     }
-    changes.forEach(this::apply);
-    notifyListener();
   }
 
   /** If the listener fails, the next notification contains these changes too. */
--- a/src/main/java/io/tansystack/recovery/Reconciliation.java
+++ b/src/main/java/io/tansystack/recovery/Reconciliation.java
@@ -138,6 +138,15 @@
         : starts.isEmpty() ? FORGET_URGENCY : 1 + highestPriority.ordinal();
   }
 
+  /** This without the forget commands to which the predicate applies. */
+  public Reconciliation withoutForgets(Predicate<Command> notYet) {
+    if (forgets.stream().noneMatch(notYet)) {
+      return this;
+    }
+    List<Command> remaining = forgets.stream().filter(notYet.negate()).toList();
+    return new Reconciliation(stops, starts, highestPriority, remaining, absentAttempts);
+  }
+
   /** This without the stop commands that were sent recently and may still be under way. */
   public Reconciliation withoutStops(Predicate<TaskAttempt> recentlyStopped) {
     List<Command> remaining =
--- a/src/main/java/io/tansystack/workers/CancellationTracker.java
+++ b/src/main/java/io/tansystack/workers/CancellationTracker.java
@@ -91,7 +91,7 @@
     // If true, the machine has exactly the tasks that the report lists: no command sent under this
     // token can still arrive.
     boolean reportIsComplete =
-        report.token() == token && !machine.commandsInFlight && machine.unconfirmedToken != token;
+        report.token() >= token && !machine.commandsInFlight && machine.unconfirmedToken != token;
     boolean mustExpire = false;
     for (IndexedPlacement indexed :
         cancelledSince.isEmpty()
--- a/src/main/java/io/tansystack/workers/CommandSender.java
+++ b/src/main/java/io/tansystack/workers/CommandSender.java
@@ -102,42 +102,39 @@
   }
 
   /**
-   * Sends the commands that the machine needs. The worker may have to hold ended attempts although
-   * the reconciliation says that they can be forgotten, see {@link RetainedAttempts}.
+   * Sends the commands that the machine needs. Its newest report must show a token under which this
+   * process owns it. Attempts that were started under the present token are forgotten under a
+   * higher one, see {@link SentStarts}.
    *
-   * @param token the token, under which the machine is {@link OwnedMachine#commandableUnder}
-   * @return the number of ended attempts that wait for a higher token to be forgotten
+   * @param claimToken the token of {@link ClusterState#token}
    */
-  int sendCommands(OwnedMachine machine, Reconciliation reconciliation, long token, Duration now) {
+  void sendCommands(
+      OwnedMachine machine, Reconciliation needed, long claimToken, Duration now) {
+    if (needed.forgets().stream().anyMatch(forget -> startedUnderToken(machine, claimToken, forget))) {
+      machine.raiseToken(clusterState.revision());
+    }
+    Reconciliation reconciliation =
+        needed.withoutForgets(forget -> startedUnderToken(machine, claimToken, forget));
     machine.stopSentAt.keySet().retainAll(machine.reportedTasks.keySet());
-    machine.retained.settle(reconciliation.forgets());
-    List<Command> forgets = machine.retained.forgettableUnder(token);
-    int waiting = machine.retained.settledCount() - forgets.size();
     Reconciliation toSend =
         reconciliation.withoutStops(
             attempt -> {
               Duration stopSentAt = machine.stopSentAt.get(attempt);
               return stopSentAt != null && now.minus(stopSentAt).compareTo(STOP_RETRY_INTERVAL) < 0;
             });
-    boolean reportIsFull =
-        waiting > 0 && machine.latest.tasks().size() >= TokenRaiser.MAX_REPORTED_ATTEMPTS;
-    List<Command> starts = reportIsFull ? List.of() : toSend.starts();
-    boolean forgetsOnly = toSend.stops().isEmpty() && starts.isEmpty();
+    boolean forgetsOnly = toSend.stops().isEmpty() && toSend.starts().isEmpty();
     machine.nothingToSend =
-        forgetsOnly
-            && toSend.starts().isEmpty()
-            && forgets.isEmpty()
-            && reconciliation.stops().isEmpty()
-            && waiting < TokenRaiser.MAX_WAITING_ATTEMPTS;
+        forgetsOnly && toSend.forgets().isEmpty() && reconciliation.stops().isEmpty();
     if (forgetsOnly
-        && (forgets.isEmpty()
-            || (forgets.size() < MIN_FORGET_BATCH && now.compareTo(machine.forgetsDueAt) < 0))) {
-      return waiting; // Forget commands go with the start commands that soon follow.
+        && (toSend.forgets().isEmpty()
+            || (toSend.forgets().size() < MIN_FORGET_BATCH
+                && now.compareTo(machine.forgetsDueAt) < 0))) {
+      return; // Where tasks end, others start soon: forget commands go with the start commands.
     }
     List<Command> commands = new ArrayList<>(toSend.stops());
-    commands.addAll(starts);
+    commands.addAll(toSend.starts());
     if (forgetsOnly || throttle.waitingMachines() == 0) {
-      commands.addAll(forgets);
+      commands.addAll(toSend.forgets());
     }
     if (commands.size() > MAX_COMMANDS) {
       commands = commands.subList(0, MAX_COMMANDS);
@@ -148,9 +145,14 @@
           .forEach(
               stop -> machine.stopSentAt.put(new TaskAttempt(stop.task(), stop.attempt()), now));
       machine.forgetsDueAt = now.plus(FORGET_DELAY);
-      send(machine, token, machine.latest.session(), commands);
+      send(machine, claimToken, machine.latest.session(), commands);
     }
-    return waiting;
+  }
+
+  private static boolean startedUnderToken(
+      OwnedMachine machine, long claimToken, Command forget) {
+    return machine.sentStarts.sentUnder(
+        machine.token(claimToken), new TaskAttempt(forget.task(), forget.attempt()));
   }
 
   /**
@@ -158,15 +160,17 @@
    * before it has, since commands sent under an earlier token could still be executed. A stop
    * command is safe at any time.
    */
-  void sendStops(OwnedMachine machine, long token) {
+  void sendStops(OwnedMachine machine, long claimToken) {
     List<Command> stops = reconciliation(machine).stops().stream().limit(MAX_COMMANDS).toList();
-    send(machine, token, machine.latest.session(), stops);
+    send(machine, claimToken, machine.latest.session(), stops);
   }
 
-  private void send(OwnedMachine machine, long token, long session, List<Command> commands) {
+  private void send(
+      OwnedMachine machine, long claimToken, long session, List<Command> commands) {
+    long token = machine.token(claimToken);
     byte[] body = Command.encodeAll(token, session, commands);
     machine.commandsInFlight = true;
-    machine.retained.onSent(token, session, commands);
+    machine.sentStarts.onSent(token, session, commands);
     commands.forEach(command -> sentCount.merge(command.op(), 1L, Long::sum));
     if (log.isDebugEnabled()) {
       for (Command c : commands) {
@@ -210,7 +214,7 @@
                   "machine=" + machine.name + " sent an invalid response to commands",
                   e.getMessage());
               machine.backOffUntil = loop.now().plusSeconds(1);
-              machine.unconfirmedToken = token;
+              machine.unconfirmedToken = claimToken;
             }
             if (status == 409) {
               machine.backOffUntil = loop.now().plusMillis(300);
@@ -226,7 +230,7 @@
             machine.backOffUntil = loop.now().plusMillis(500L << machine.commandFailures);
             if (!refused) {
               // They may still be executed at any later time: only a higher token prevents that.
-              machine.unconfirmedToken = token;
+              machine.unconfirmedToken = claimToken;
               machine.onCommandsUnanswered(loop.now());
               log.info(
                   "no answer to {} commands machine={} token={}",
--- a/src/main/java/io/tansystack/workers/MachineViewPublisher.java
+++ b/src/main/java/io/tansystack/workers/MachineViewPublisher.java
@@ -47,16 +47,15 @@
       Duration silence,
       Duration now) {
     boolean answeredUnderToken =
-        machine.answeredUnderToken == ownerToken || machine.commandableUnder(ownerToken);
+        machine.answeredUnderToken == ownerToken || machine.latest.token() >= ownerToken;
     long token = answeredUnderToken ? ownerToken : machine.latest.token();
     MachineView previous = machine.lastView;
-    Report latest = machine.latestNeeded;
     Duration sincePublished = now.minus(machine.publishedAt);
     if (previous != null
-        && previous.report().tasks() == latest.tasks()
-        && previous.report().session() == latest.session()
-        && previous.report().token() == latest.token()
-        && (previous.report().reclaimNoticeS() == null) == (latest.reclaimNoticeS() == null)
+        && previous.report().tasks() == machine.latest.tasks()
+        && previous.report().session() == machine.latest.session()
+        && reportsToken(previous.report()) == reportsToken(machine.latest)
+        && (previous.report().reclaimNoticeS() == null) == (machine.latest.reclaimNoticeS() == null)
         && previous.token() == token
         && previous.responsesLost() == machine.responsesLost()
         && previous.absentAttempts().equals(absentAttempts)
@@ -65,7 +64,7 @@
     }
     MachineView view =
         new MachineView(
-            latest,
+            machine.latest,
             token,
             absentAttempts,
             machine.history.images(),
@@ -83,6 +82,14 @@
     publish.accept(view);
   }
 
+  /**
+   * Whether the worker has received a token. Which one does not matter to other controllers: an
+   * owner raises it whenever tasks have ended.
+   */
+  private static boolean reportsToken(Report report) {
+    return report.token() > 0;
+  }
+
   /**
    * How long after the last view the next one is due. Proofs that placements have ended, and
    * changes that make a machine usable or unusable, are published at once; the progress of image
@@ -94,7 +101,7 @@
     if (previous.token() != view.token()
         || previous.responsesLost() != view.responsesLost()
         || before.session() != latest.session()
-        || before.token() != latest.token()
+        || reportsToken(before) != reportsToken(latest)
         || (before.reclaimNoticeS() == null) != (latest.reclaimNoticeS() == null)
         || !view.jobsWithNewProofs(previous).isEmpty()) {
       return Duration.ZERO;
--- a/src/main/java/io/tansystack/workers/OwnedMachine.java
+++ b/src/main/java/io/tansystack/workers/OwnedMachine.java
@@ -12,11 +12,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /** What a machine's owner knows of it, and the commands and record writes in progress. */
 final class OwnedMachine {
@@ -46,15 +44,9 @@
   private byte[] response;
   private long responseToken = -1;
 
-  /**
-   * The tasks of the newest report by attempt, indexed once for each report; without the ended
-   * attempts that nobody needed any more when it arrived.
-   */
+  /** The tasks of the newest report by attempt, indexed once for each report. */
   Map<TaskAttempt, TaskReport> reportedTasks = Map.of();
 
-  /** The newest report with the tasks in {@link #reportedTasks} only. */
-  Report latestNeeded;
-
   InetSocketAddress address;
 
   /**
@@ -68,7 +60,7 @@
   /** When the first of these signs was seen. */
   private Duration missedResponsesSince;
 
-  /** The token under which the last report was answered; -1 for none. */
+  /** The token of the records when the last report was answered; -1 for none. */
   long answeredUnderToken = -1;
 
   private Duration formerOwnerUntil;
@@ -98,21 +90,19 @@
 
   boolean commandsInFlight;
 
-  /** The token under which commands got no response and may still be executed; -1 for none. */
+  /**
+   * The token of the records when commands got no response, which may still be executed; -1 for
+   * none.
+   */
   long unconfirmedToken = -1;
 
-  /** Ended attempts that nobody needs any more, and when the worker may forget them. */
-  final RetainedAttempts retained = new RetainedAttempts();
+  /** The start commands that were sent under the newest token. */
+  final SentStarts sentStarts = new SentStarts();
 
-  /** A token that this controller has raised while it owned the machine, and the one before. */
+  /** The highest revision to which this controller has raised the token; -1 for none. */
   private long raisedToken = -1;
 
-  private long tokenBeforeRaise = -1;
-
-  /** Before this moment the token is not raised again. */
-  Duration noRaiseBefore = Duration.ZERO;
-
-  /** Whether a claim, a higher token or the deletion of its record is being written. */
+  /** Whether a claim or the deletion of its record is being written. */
   boolean recordWriteInFlight;
 
   /** Requests with commands that got no response, one after the other; counted up to 4. */
@@ -224,7 +214,7 @@
         countMissedResponses(newSession || reportsElsewhere > 1 ? MISSED_RESPONSES_LIMIT : 1, now);
       }
     }
-    if (receivesResponses && report.token() == token) {
+    if (receivesResponses && report.token() >= token) {
       missedResponses = 0;
     }
     lastHeartbeat = report.withoutTasks();
@@ -232,27 +222,6 @@
     answeredUnderToken = token;
   }
 
-  /**
-   * Notes that this controller has raised the token, on the condition that it has owned the machine
-   * without interruption.
-   */
-  void onTokenRaised(long from, long to) {
-    tokenBeforeRaise = from;
-    raisedToken = to;
-  }
-
-  /**
-   * Whether commands may be sent under the token, because no others can still be executed whose
-   * effects the newest report lacks: the worker has reported the token, or it has reported the one
-   * before, under which only this controller has sent commands, all of which were answered.
-   */
-  boolean commandableUnder(long token) {
-    return latest.token() == token
-        || (token == raisedToken
-            && latest.token() == tokenBeforeRaise
-            && unconfirmedToken != tokenBeforeRaise);
-  }
-
   /** Notes that commands to the worker got no response. */
   void onCommandsUnanswered(Duration now) {
     countMissedResponses(1, now);
@@ -285,48 +254,53 @@
     return response;
   }
 
+  /**
+   * The token under which the machine's worker is answered and commanded: that of its records, or
+   * the revision to which this controller has raised it since.
+   *
+   * @param claimToken the token of {@link io.tansystack.cluster.ClusterState#token}
+   */
+  long token(long claimToken) {
+    return Math.max(claimToken, raisedToken);
+  }
+
+  /**
+   * Raises the token without a write. Another owner's token is the revision of a write that this
+   * controller's cluster state doesn't show, hence higher than any revision that it shows.
+   *
+   * @param revision the revision of the cluster state, by which this controller owns the machine
+   */
+  void raiseToken(long revision) {
+    raisedToken = Math.max(raisedToken, revision);
+  }
+
   /**
    * Makes a report that contains something new the latest one.
    *
-   * @param ownToken the token under which this controller owns the machine
-   * @return attempts for which a start command was executed that nobody sent under this token: the
-   *     report before, under the same token, lacks them, so a command of then has arrived again
+   * @param claimToken the token of {@link io.tansystack.cluster.ClusterState#token}
+   * @return attempts for which a start command was executed that this controller has not sent since
+   *     the report before, although it was the owner then: a command of earlier has arrived again
    */
-  List<TaskAttempt> apply(Report report, long ownToken) {
+  List<TaskAttempt> apply(Report report, long claimToken) {
     boolean comparable =
         latest != null
             && latest.session() == report.session()
-            && latest.token() == ownToken
-            && report.token() == ownToken;
+            && latest.token() >= claimToken
+            && report.token() >= claimToken;
     List<TaskAttempt> startedByNobody = new ArrayList<>();
     Map<TaskAttempt, TaskReport> reported = new LinkedHashMap<>();
-    Set<TaskAttempt> settled = new HashSet<>();
     for (TaskReport task : report.tasks()) {
       TaskAttempt attempt = new TaskAttempt(task.task(), task.attempt());
-      if (task.exited() && retained.isSettled(attempt)) {
-        settled.add(attempt);
-        continue;
-      }
       reported.put(attempt, task);
       if (comparable
           && !reportedTasks.containsKey(attempt)
-          && !retained.isSettled(attempt)
-          && !retained.startedUnder(ownToken, attempt)) {
+          && !sentStarts.sentUnder(token(claimToken), attempt)) {
         startedByNobody.add(attempt);
       }
     }
     latest = report;
     reportedTasks = reported;
-    retained.retainReported(settled);
-    latestNeeded = settled.isEmpty() ? report : report.withTasks(List.copyOf(reported.values()));
     nothingToSend = false;
     return startedByNobody;
   }
-
-  /** Replaces the latest report by a later one that contains nothing new. */
-  void applyRepeated(Report report) {
-    // Keeps the same list objects, by which later comparisons recognize the tasks as unchanged.
-    latest = report.withTasks(latest.tasks());
-    latestNeeded = report.withTasks(latestNeeded.tasks());
-  }
 }
--- a/src/main/java/io/tansystack/workers/OwnedMachines.java
+++ b/src/main/java/io/tansystack/workers/OwnedMachines.java
@@ -81,7 +81,8 @@
       return;
     }
     if (machine.latest != null && report.repeats(machine.latest)) {
-      machine.applyRepeated(report);
+      // Keeps the same list object, by which later comparisons recognize the tasks as unchanged.
+      machine.latest = report.withTasks(machine.latest.tasks());
       return;
     }
     MachineRecord record = clusterState.machine(machine.name);
@@ -93,7 +94,7 @@
       invalidMessages.warn("machine=" + machine.name + " can't be sent commands", e.getMessage());
       machine.address = null;
     }
-    machine.history.observe(machine.latestNeeded, loop.now(), this::spec);
+    machine.history.observe(report, loop.now(), this::spec);
   }
 
   private void logStartedByNobody(OwnedMachine machine, Report report, List<TaskAttempt> attempts) {
--- a/src/main/java/io/tansystack/workers/WorkerManager.java
+++ b/src/main/java/io/tansystack/workers/WorkerManager.java
@@ -36,13 +36,14 @@
 /**
  * The owner's side of the machines: claims, responses to reports, and commands.
  *
- * <p>A machine's token is that of {@link ClusterState#token}, so every claim has a higher one.
+ * <p>A machine's token is that of {@link ClusterState#token}, so every claim has a higher one, or a
+ * later revision that the owner has seen ({@link OwnedMachine#raiseToken}).
  * Commands are sent by {@code /orders} only, one request at a time for each machine, and only while
- * the newest report shows the current token: then every command sent under an earlier one is
- * invalid. What to send follows from the cluster state and that report. A request that got no
- * response may still arrive, so it is followed by a new claim, whose token invalidates it. One that
- * was answered may arrive once more, so an ended attempt is forgotten only under a higher token
- * than that of its start command ({@link RetainedAttempts}).
+ * the newest report shows a token of this owner: then every command of former owners is invalid.
+ * What to send follows from the cluster state and that report. A request that got no response may
+ * still arrive, so it is followed by a new claim, whose token invalidates it. One that was answered
+ * may arrive once more, so an ended attempt is forgotten only under a higher token than that of its
+ * start command ({@link SentStarts}).
  */
 public final class WorkerManager {
   /** If more than this share is silent at once, the machines' owner or the network is at fault. */
@@ -61,7 +62,6 @@
   private int lostTasks;
   private final MachineClaims claims;
   private final CommandSender commandSender;
-  private final TokenRaiser tokenRaiser;
   private final CommandThrottle throttle;
   private final Duration maxStartupTime;
   private final WorkerLeaseMonitor leaseMonitor;
@@ -105,9 +105,6 @@
         new CommandSender(
             loop, httpClient, clusterState, throttle, machines::applyReport,
             m -> reconcileIfOwned(m.name));
-    this.tokenRaiser =
-        new TokenRaiser(
-            loop, store, clusterState, label, writesPerSecond, m -> reconcileIfOwned(m.name));
     this.leaseMonitor =
         new WorkerLeaseMonitor(loop, store, clusterState, lease, label, workerLease);
     this.viewPublisher = new MachineViewPublisher(publish);
@@ -171,13 +168,16 @@
 
   private void answerOwnWorker(MachineRecord record, Report report, Reply reply) {
     long token = clusterState.token(record);
-    if (report.token() > token) {
+    if (report.token() > Math.max(token, clusterState.revision())) {
       // The machine was claimed since; the cluster state cache is about to show it.
       reply.send(503, Cbor.encode(Responses.error("a later claim exists")));
       return;
     }
     Duration now = loop.now();
     OwnedMachine machine = machines.getOrAdd(record);
+    if (report.token() > machine.token(token)) {
+      machine.raiseToken(report.token());
+    }
     if (!mayAnswer(record)) {
       if (machine.recordWriteInFlight) {
         reply.send(503, Cbor.encode(Responses.error("the machine is being declared gone")));
@@ -203,7 +203,7 @@
         lostTasks +=
             StartupLogger.countLostTasks(clusterState.placedOn(record.name()), report.session());
       }
-      reply.send(200, machine.response(token));
+      reply.send(200, machine.response(machine.token(token)));
     }
     machines.applyReport(machine, report);
     reconcile(machine);
@@ -352,10 +352,10 @@
           machine, token, machine.lastView.absentAttempts(), heartbeats.silence(machine, now), now);
       return;
     }
-    boolean commandable = machine.commandableUnder(token);
+    boolean tokenAcknowledged = latest.token() >= token;
     boolean nothingInFlight = !machine.commandsInFlight;
     Reconciliation reconciliation =
-        commandable && nothingInFlight ? commandSender.reconciliation(machine) : null;
+        tokenAcknowledged && nothingInFlight ? commandSender.reconciliation(machine) : null;
     List<MachineView.AbsentAttempt> absentAttempts =
         reconciliation == null ? List.of() : CommandSender.absentAttempts(reconciliation);
     viewPublisher.publishIfDue(
@@ -363,8 +363,7 @@
     boolean reachable =
         nothingInFlight && machine.address != null && now.compareTo(machine.backOffUntil) >= 0;
     if (reachable && reconciliation != null) {
-      int waiting = commandSender.sendCommands(machine, reconciliation, token, now);
-      tokenRaiser.raiseIfDue(machine, record, token, waiting);
+      commandSender.sendCommands(machine, reconciliation, token, now);
     } else if (reachable && machine.leftToExpire) {
       // Its reports are not answered, so it does not learn the token; the cancelled tasks have to
       // be stopped first.
