Test: the next owner of a machine has a higher token than any its predecessor has raised

The claim on which the fix rests: after tokens were raised to revisions, the owner is back at once (as a process that knows the records only, like one of an older version), away for 9 s, all controllers end, are restarted in turn, or the owner is cut off for 20 s; no worker's lease may expire and tasks go on. A predicate stands once in CommandSender.

--- a/src/main/java/io/tansystack/workers/CommandSender.java
+++ b/src/main/java/io/tansystack/workers/CommandSender.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -108,13 +109,12 @@
    *
    * @param claimToken the token of {@link ClusterState#token}
    */
-  void sendCommands(
-      OwnedMachine machine, Reconciliation needed, long claimToken, Duration now) {
-    if (needed.forgets().stream().anyMatch(forget -> startedUnderToken(machine, claimToken, forget))) {
+  void sendCommands(OwnedMachine machine, Reconciliation needed, long claimToken, Duration now) {
+    Predicate<Command> tooEarly = forget -> startedUnderToken(machine, claimToken, forget);
+    if (needed.forgets().stream().anyMatch(tooEarly)) {
       machine.raiseToken(clusterState.revision());
     }
-    Reconciliation reconciliation =
-        needed.withoutForgets(forget -> startedUnderToken(machine, claimToken, forget));
+    Reconciliation reconciliation = needed.withoutForgets(tooEarly);
     machine.stopSentAt.keySet().retainAll(machine.reportedTasks.keySet());
     Reconciliation toSend =
         reconciliation.withoutStops(
--- a/src/test/java/io/tansystack/sim/RepeatedRequestsTest.java
+++ b/src/test/java/io/tansystack/sim/RepeatedRequestsTest.java
@@ -227,4 +227,30 @@
     assertTrue(repeater.repeatedCount(receiver) > 0, "requests were repeated");
     assertRecovered(receiver + " " + change);
   }
+
+  /**
+   * Workers have received tokens that only their owner knew of. If the next owner's were lower, its
+   * answers would be dropped, and leases would expire.
+   */
+  @ParameterizedTest
+  @CsvSource({"blinks, 0", "ends, 9000", "all end, 3000", "rolling, 0", "silent, 20000"})
+  void nextOwnerHasAHigherTokenThanItsPredecessorHasRaised(String change, int durationMs)
+      throws Exception {
+    taskRunTime = Duration.ofMillis(1200);
+    start(CONTROLLERS, 6);
+    submit("vision", JobKind.ARRAY, Priority.NORMAL, 3000, 1, 0, null, false, false);
+    loop.runFor(Duration.ofSeconds(15));
+    List<EmulatedWorker> workers = machines();
+    List<Long> tokens = workers.stream().map(EmulatedWorker::token).toList();
+    loop.runFor(Duration.ofSeconds(10));
+    for (int i = 0; i < tokens.size(); i++) {
+      assertTrue(workers.get(i).token() > tokens.get(i), "the token was raised");
+    }
+    inject(change, holder("ts/fleet"), Duration.ofMillis(durationMs));
+    loop.runFor(Duration.ofSeconds(45));
+    int completedBefore = completed.size();
+    loop.runFor(Duration.ofSeconds(5));
+    assertTrue(completed.size() > completedBefore, "tasks go on");
+    workers.forEach(worker -> assertEquals(1, worker.session(), worker.name()));
+  }
 }
