--- a/src/main/java/io/tansystack/emulator/CommandRepeater.java
+++ b/src/main/java/io/tansystack/emulator/CommandRepeater.java
@@ -1,9 +1,9 @@
 package io.tansystack.emulator;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.Sets;
 import io.tansystack.http.EventLoop;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Random;
 import java.util.Set;
 
@@ -34,8 +34,7 @@
   void onExecuted(EmulatedWorker worker, ObjectNode commands) {
     if (settings.share() > 0 && random.nextDouble() < settings.share()) {
       long rangeNanos = settings.maxDelay().minus(settings.minDelay()).toNanos();
-      Duration delay =
-          settings.minDelay().plusNanos((long) (random.nextDouble() * rangeNanos));
+      Duration delay = settings.minDelay().plusNanos((long) (random.nextDouble() * rangeNanos));
       loop.after(delay, () -> repeat(worker, commands));
     }
   }
@@ -47,9 +46,8 @@
     repeatedCount++;
     Set<String> heldBefore = worker.heldAttempts();
     worker.handleCommands(commands);
-    Set<String> added = new HashSet<>(worker.heldAttempts());
-    added.removeAll(heldBefore);
-    added.forEach(attempt -> ruleChecker.startExecutedAgain(worker.name(), attempt));
+    Sets.difference(worker.heldAttempts(), heldBefore)
+        .forEach(attempt -> ruleChecker.startExecutedAgain(worker.name(), attempt));
   }
 
   /** Number of copies that workers have received. */
--- a/src/main/java/io/tansystack/recovery/Reconciliation.java
+++ b/src/main/java/io/tansystack/recovery/Reconciliation.java
@@ -140,9 +140,6 @@
 
   /** This without the forget commands to which the predicate applies. */
   public Reconciliation withoutForgets(Predicate<Command> notYet) {
-    if (forgets.stream().noneMatch(notYet)) {
-      return this;
-    }
     List<Command> remaining = forgets.stream().filter(notYet.negate()).toList();
     return new Reconciliation(stops, starts, highestPriority, remaining, absentAttempts);
   }
--- a/src/main/java/io/tansystack/workers/OwnedMachine.java
+++ b/src/main/java/io/tansystack/workers/OwnedMachine.java
@@ -277,7 +277,8 @@
   /**
    * Makes a report that contains something new the latest one.
    *
-   * @param claimToken the token of {@link io.tansystack.cluster.ClusterState#token}
+   * @param claimToken the token of {@link io.tansystack.cluster.ClusterState#token}, or a higher one
+   *     than any if the machine has no record
    * @return attempts for which a start command was executed that this controller has not sent since
    *     the report before, although it was the owner then: a command of earlier has arrived again
    */
--- a/src/main/java/io/tansystack/workers/OwnedMachines.java
+++ b/src/main/java/io/tansystack/workers/OwnedMachines.java
@@ -86,8 +86,8 @@
       return;
     }
     MachineRecord record = clusterState.machine(machine.name);
-    long token = record == null ? -1 : clusterState.token(record);
-    logStartedByNobody(machine, report, machine.apply(report, token));
+    long claimToken = record == null ? Long.MAX_VALUE : clusterState.token(record);
+    logStartedByNobody(machine, report, machine.apply(report, claimToken));
     try {
       machine.address = Addresses.parse(report.address());
     } catch (InvalidMessageException e) {
--- a/src/main/java/io/tansystack/workers/WorkerManager.java
+++ b/src/main/java/io/tansystack/workers/WorkerManager.java
@@ -176,6 +176,7 @@
     Duration now = loop.now();
     OwnedMachine machine = machines.getOrAdd(record);
     if (report.token() > machine.token(token)) {
+      // Every other owner's token up to this revision is lower than this one's claim.
       machine.raiseToken(report.token());
     }
     if (!mayAnswer(record)) {
--- a/src/test/java/io/tansystack/sim/SimNetwork.java
+++ b/src/test/java/io/tansystack/sim/SimNetwork.java
@@ -1,6 +1,7 @@
 package io.tansystack.sim;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.Sets;
 import io.tansystack.cli.Controller;
 import io.tansystack.emulator.EmulatedCloud.MachineProvider;
 import io.tansystack.emulator.EmulatedCloud;
@@ -424,11 +425,8 @@
     Set<String> heldBefore = worker == null ? Set.of() : worker.heldAttempts();
     deliver(to, method, path, body, (status, answer) -> {});
     if (worker != null) {
-      for (String attempt : worker.heldAttempts()) {
-        if (!heldBefore.contains(attempt)) {
-          repeater.executedAgain.add(attempt + "@" + worker.name());
-        }
-      }
+      Sets.difference(worker.heldAttempts(), heldBefore)
+          .forEach(attempt -> repeater.executedAgain.add(attempt + "@" + worker.name()));
     }
   }
 
--- a/src/test/java/io/tansystack/workers/OwnedMachineTest.java
+++ b/src/test/java/io/tansystack/workers/OwnedMachineTest.java
@@ -24,6 +24,9 @@
  */
 class OwnedMachineTest {
   private static final long TOKEN = 40;
+  private static final TaskAttempt ATTEMPT = new TaskAttempt(new TaskId("wk-1", 0), 1);
+  private static final Command START =
+      new Command(Command.Op.START, ATTEMPT.task(), ATTEMPT.number(), 0);
 
   private static Report report(String text) {
     String[] parts = text.trim().split(" ");
@@ -123,8 +126,6 @@
     assertEquals(Duration.ofSeconds(lastAnswerS), machine.lastAnswerAt());
   }
 
-  private static final TaskAttempt ATTEMPT = new TaskAttempt(new TaskId("wk-1", 0), 1);
-
   private static Report report(int sequence, long token, TaskReport.State state) {
     TaskReport.Cause cause = state == TaskReport.State.EXITED ? TaskReport.Cause.DONE : null;
     List<TaskReport> tasks =
@@ -135,9 +136,6 @@
         "n-1", "127.0.0.1:9000", "small", "a", false, 1, sequence, token, null, tasks);
   }
 
-  private static final Command START =
-      new Command(Command.Op.START, ATTEMPT.task(), ATTEMPT.number(), 0);
-
   private static OwnedMachine machine() {
     return new OwnedMachine("n-1", new MachineHistory(50), Duration.ZERO, TOKEN, Duration.ZERO);
   }
