Emulator: machines that restart in place, and a cloud whose interface is down for calls of a kind

The emulated worker began a new session only when its lease had expired, and the emulated cloud always answered. Requests that were under way get no response. EmulatedCloud takes the kinds of requests that it answers with 503.

--- a/src/main/java/io/tansystack/emulator/CellRun.java
+++ b/src/main/java/io/tansystack/emulator/CellRun.java
@@ -74,7 +74,7 @@
     this.fleet = new EmulatedFleet(workerRole, settings, addresses, ruleChecker, taskTimes);
     this.users = new EmulatedUsers(userRole, settings, addresses, ruleChecker, taskTimes);
     this.controllers = new ControllerLauncher(settings, addresses, deployFile, folder);
-    EmulatedCloud cloud = new EmulatedCloud(workerRole.loop(), fleet);
+    EmulatedCloud cloud = new EmulatedCloud(workerRole.loop(), fleet, kind -> false);
     storeRole
         .server()
         .listen(
--- a/src/main/java/io/tansystack/emulator/EmulatedCloud.java
+++ b/src/main/java/io/tansystack/emulator/EmulatedCloud.java
@@ -12,12 +12,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 
 /**
  * Emulates the cloud's published protocol: rentals with idempotent request names, deletions, and a
  * machine list that lags behind.
  */
 public final class EmulatedCloud {
+  /** The kinds of requests to the cloud's interface. */
+  public enum RequestKind { LIST_TYPES, LIST_MACHINES, RENT, DELETE }
+
   /** Provides the machines behind the cloud's interface. */
   public interface MachineProvider {
     /** All machine types that can be rented. */
@@ -41,13 +45,17 @@
 
   private final EventLoop loop;
   private final MachineProvider provider;
+  private final Predicate<RequestKind> unavailable;
 
   /** Response to each rental by request name; a repeated request gets the same response. */
   private final Map<String, ObjectNode> rentals = new HashMap<>();
 
-  public EmulatedCloud(EventLoop loop, MachineProvider provider) {
+  /** @param unavailable the kinds of requests that are answered with 503 and not carried out */
+  public EmulatedCloud(
+      EventLoop loop, MachineProvider provider, Predicate<RequestKind> unavailable) {
     this.loop = loop;
     this.provider = provider;
+    this.unavailable = unavailable;
   }
 
   /** Number of rental requests that were carried out. */
@@ -63,23 +71,36 @@
    * @param reply receives the HTTP status and the response body
    */
   public void handle(String path, ObjectNode body, BiConsumer<Integer, ObjectNode> reply) {
-    switch (path.indexOf('?') < 0 ? path : path.substring(0, path.indexOf('?'))) {
-      case "/machine_types" -> reply.accept(200, listTypes());
-      case "/machines/delete" -> {
+    RequestKind kind = kind(path, body);
+    if (kind == null) {
+      reply.accept(404, Cbor.map());
+      return;
+    }
+    if (unavailable.test(kind)) {
+      reply.accept(503, Cbor.map().put("error", "trouble"));
+      return;
+    }
+    switch (kind) {
+      case LIST_TYPES -> reply.accept(200, listTypes());
+      case LIST_MACHINES -> reply.accept(200, listMachines(path));
+      case RENT -> rent(body, reply);
+      case DELETE -> {
         body.get("Berths").forEach(name -> provider.delete(name.asText()));
         reply.accept(200, Cbor.map());
       }
-      case "/machines" -> {
-        if (body.has("Charter")) {
-          rent(body, reply);
-        } else {
-          reply.accept(200, listMachines(path));
-        }
-      }
-      default -> reply.accept(404, Cbor.map());
     }
   }
 
+  /** The kind of a request; null for an unknown path. */
+  private static RequestKind kind(String path, ObjectNode body) {
+    return switch (path.indexOf('?') < 0 ? path : path.substring(0, path.indexOf('?'))) {
+      case "/machine_types" -> RequestKind.LIST_TYPES;
+      case "/machines/delete" -> RequestKind.DELETE;
+      case "/machines" -> body.has("Charter") ? RequestKind.RENT : RequestKind.LIST_MACHINES;
+      default -> null;
+    };
+  }
+
   private ObjectNode listTypes() {
     ObjectNode map = Cbor.map();
     ArrayNode list = map.putArray("Fleets");
--- a/src/main/java/io/tansystack/emulator/EmulatedWorker.java
+++ b/src/main/java/io/tansystack/emulator/EmulatedWorker.java
@@ -53,6 +53,11 @@
   /** Until then it neither reports nor takes commands; commands received meanwhile run later. */
   private Duration hungUntil = Duration.ZERO;
 
+  /** Until then it neither reports nor takes commands, because it is restarting. */
+  private Duration restartingUntil = Duration.ZERO;
+
+  private int restartCount;
+
   /** Seconds until the cloud reclaims the machine; null without a reclaim notice. */
   private Double reclaimNoticeS;
 
@@ -149,6 +154,26 @@
     return loop.now().compareTo(hungUntil) < 0;
   }
 
+  /**
+   * Restarts the machine in place: all its tasks end, and its next session, whose lease counts from
+   * now, reports after the given time. Sequence number and token are kept; a hang ends.
+   */
+  public void restart(Duration downTime) {
+    startSession();
+    hungUntil = Duration.ZERO;
+    restartingUntil = loop.now().plus(downTime);
+    restartCount++;
+  }
+
+  public boolean isRestarting() {
+    return loop.now().compareTo(restartingUntil) < 0;
+  }
+
+  /** How often the machine has restarted in place; requests sent before get no response. */
+  public int restartCount() {
+    return restartCount;
+  }
+
   public boolean isDead() {
     return dead;
   }
@@ -173,6 +198,7 @@
     }
     Duration remaining = leaseStart.plus(lease).minus(loop.now());
     if (remaining.isNegative()) {
+      lostTaskCount += liveTasks().size();
       startSession();
       remaining = lease;
     }
@@ -180,7 +206,6 @@
   }
 
   private void startSession() {
-    lostTaskCount += liveTasks().size();
     tasks.clear();
     endStartedTasks();
     session++;
--- a/src/test/java/io/tansystack/sim/SimFaults.java
+++ b/src/test/java/io/tansystack/sim/SimFaults.java
@@ -1,6 +1,8 @@
 package io.tansystack.sim;
 
+import io.tansystack.emulator.EmulatedCloud;
 import java.time.Duration;
+import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.Set;
 
@@ -89,6 +91,9 @@
   /** Share of rentals that are executed but whose response is lost. */
   double lostRentalShare;
 
+  /** Kinds of requests for which the cloud's interface is down: it answers 503. */
+  final Set<EmulatedCloud.RequestKind> cloudOutage = EnumSet.noneOf(EmulatedCloud.RequestKind.class);
+
   /** Zones in which the cloud has no machines available. */
   final Set<String> fullZones = new HashSet<>();
 
@@ -134,6 +139,7 @@
     lostRentalShare = 0;
     listLag = Duration.ZERO;
     fullZones.clear();
+    cloudOutage.clear();
     maxStoreDelay = Duration.ZERO;
     readDelay = Duration.ZERO;
     commandsBlocked.clear();
--- a/src/test/java/io/tansystack/sim/SimFleet.java
+++ b/src/test/java/io/tansystack/sim/SimFleet.java
@@ -26,12 +26,23 @@
     return name;
   }
 
+  /** Restarts a machine in place; its next session reports after the given time. */
+  void restartInPlace(EmulatedWorker worker, Duration downTime) {
+    worker.restart(downTime);
+    loop.after(downTime, () -> report(worker));
+  }
+
   void report(EmulatedWorker worker) {
-    if (worker.isDead()) {
+    report(worker, worker.restartCount());
+  }
+
+  /** Reports until the machine restarts once more after the given number of restarts. */
+  private void report(EmulatedWorker worker, int restarts) {
+    if (worker.isDead() || worker.restartCount() != restarts) {
       return;
     }
     if (worker.isHung()) {
-      loop.after(worker.hungUntil().minus(loop.now()), () -> report(worker));
+      loop.after(worker.hungUntil().minus(loop.now()), () -> report(worker, restarts));
       return;
     }
     Duration sentAt = loop.now();
@@ -40,7 +51,7 @@
     Controller controller = controllers.get(target(worker));
     Runnable tryNextController = () -> {
       target(worker, (target(worker) + 1) % controllerCount);
-      loop.after(Duration.ofSeconds(1), () -> report(worker));
+      loop.after(Duration.ofSeconds(1), () -> report(worker, restarts));
     };
     loop.after(Duration.ofSeconds(4), () -> {
       if (!finished[0]) {
@@ -70,16 +81,21 @@
       }
     }
     Reply reply = (status, bytes, r) -> {
-      if (finished[0] || lost || worker.isDead() || worker.isHung() || inboundBlocked.contains(worker.name())) {
+      if (finished[0]
+          || lost
+          || worker.isDead()
+          || worker.isHung()
+          || worker.restartCount() != restarts
+          || inboundBlocked.contains(worker.name())) {
         return;
       }
       finished[0] = true;
       if (status == 200) {
         worker.onReportResponse(status, decode(bytes), sentAt, session);
-        loop.after(Duration.ofMillis(1500), () -> report(worker));
+        loop.after(Duration.ofMillis(1500), () -> report(worker, restarts));
       } else if (status == 421 && decode(bytes).has("Dispatcher")) {
         target(worker, Integer.parseInt(decode(bytes).get("Dispatcher").asText().substring(2)));
-        loop.after(Duration.ofMillis(300), () -> report(worker));
+        loop.after(Duration.ofMillis(300), () -> report(worker, restarts));
       } else {
         tryNextController.run();
       }
--- a/src/test/java/io/tansystack/sim/SimNetwork.java
+++ b/src/test/java/io/tansystack/sim/SimNetwork.java
@@ -65,7 +65,7 @@
   /** The platform's settings; label, zone, addresses and size are replaced for each controller. */
   String settings = SettingsTest.VALID;
 
-  final EmulatedCloud cloud = new EmulatedCloud(loop, this);
+  final EmulatedCloud cloud = new EmulatedCloud(loop, this, cloudOutage::contains);
   final EmulatedGangs gangs = new EmulatedGangs(this);
 
   /** The number of tasks of each gang job, by job ID. */
@@ -513,6 +513,7 @@
       for (EmulatedWorker worker : workers.values()) {
         if (worker.address().endsWith(":" + to.getPort())
             && !worker.isDead()
+            && !worker.isRestarting()
             && !inboundBlocked.contains(worker.name())
             && !commandsBlocked.contains(worker.name())) {
           if (worker.isHung()) {
