--- /dev/null
+++ b/src/test/java/io/tansystack/sim/RestartInPlaceTest.java
@@ -0,0 +1,86 @@
+package io.tansystack.sim;
+
+import io.tansystack.emulator.EmulatedCloud.RequestKind;
+import io.tansystack.emulator.EmulatedWorker;
+import java.time.Duration;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards against conclusions about a machine's tasks that overlook a session begun by a restart. */
+class RestartInPlaceTest extends FaultScenario {
+  private static final int CONTROLLERS = 3;
+  private static final int MACHINES = 8;
+  private static final int JOBS = 16;
+
+  /** Longer than the worker's lease, so that a task of the unheard session runs until it ends. */
+  private static final Duration TASK_RUN_TIME = Duration.ofSeconds(70);
+
+  /** What becomes of the machine's owner while the new session's lease lasts. */
+  private enum Owner {
+    STAYS(0),
+    ENDS_SHORTLY(400),
+    ENDS(12_000);
+
+    final int downMs;
+
+    Owner(int downMs) {
+      this.downMs = downMs;
+    }
+  }
+
+  /** Each fate of the owner with seeds 1 to 8, or those that {@code tansystack.seeds} names. */
+  static Stream<Arguments> ownersAndSeeds() {
+    return Stream.of(Owner.values())
+        .flatMap(owner -> seeds().mapToObj(seed -> Arguments.of(owner, seed)));
+  }
+
+  /** The incident: reports reach no controller, the cloud is down, and commands still arrive. */
+  @ParameterizedTest
+  @MethodSource("ownersAndSeeds")
+  void taskOfUnheardSessionIsNotStartedElsewhereBeforeThatSessionsLeaseEnds(Owner owner, long seed)
+      throws Exception {
+    random = new Random(seed);
+    taskRunTime = TASK_RUN_TIME;
+    startWithJobs(CONTROLLERS, MACHINES, JOBS, 1);
+    EmulatedWorker machine = busyMachine();
+    cloudOutage.addAll(EnumSet.allOf(RequestKind.class));
+    reportsBlocked.add(machine.name());
+    loop.runFor(randomMs(500, 5500));
+    restartAndCommand(machine);
+    if (random.nextInt(3) == 0) {
+      loop.after(randomMs(1000, 20_000), () -> restartAndCommand(machine));
+    }
+    if (owner != Owner.STAYS) {
+      int ownerIndex = target(machine);
+      loop.after(randomMs(1000, 36_000), () -> restart(ownerIndex, owner.downMs));
+    }
+    loop.runFor(Duration.ofSeconds(60));
+    assertRecovered(owner + " seed " + seed);
+  }
+
+  private EmulatedWorker busyMachine() {
+    List<EmulatedWorker> busy =
+        machines().stream().filter(worker -> !worker.liveTasks().isEmpty()).toList();
+    return busy.get(random.nextInt(busy.size()));
+  }
+
+  /** Restarts the machine and cancels the job of one of its tasks, which makes its owner send a command. */
+  private void restartAndCommand(EmulatedWorker machine) {
+    List<String> tasks = machine.liveTasks();
+    Duration downTime = randomMs(100, 2000);
+    restartInPlace(machine, downTime);
+    if (!tasks.isEmpty()) {
+      String job = tasks.get(0).substring(0, tasks.get(0).indexOf('/'));
+      loop.after(downTime, () -> users().cancel(job, SimUsers.ANY));
+    }
+  }
+
+  private Duration randomMs(int min, int max) {
+    return Duration.ofMillis(min + random.nextInt(max - min + 1));
+  }
+}
