A worker's lease counts from when its session was first seen, if that is later than any answer

Cause: the owner counted a worker's lease from the last report that it or a former owner can have answered. A machine that restarts in place begins a session whose lease counts from its beginning, whether or not a report of it is ever answered. In the incident the owner heard of session 2 in the response to a command (409 at 34.81 s), started eight tasks in it, and removed the machine's record a lease after the last answer of session 1 (25.29 s), nine seconds before session 2's lease ran out at 70.60 s. An action on stale knowledge: what renews a lease was taken for all that a lease can count from.

WorkerLeaseStart now holds the three moments from which a lease can count, and is the only place that compares them: the last answered report, the first sight of the newest session in any message, the last moment at which a former owner could act. The removal of a record takes its bound from there, and its log line tells which of the three counted. A line tells when and in which message a later session is first seen.

Seven rows of OwnedMachineTest are new; the others are unchanged.

--- a/src/main/java/io/tansystack/workers/OwnedMachine.java
+++ b/src/main/java/io/tansystack/workers/OwnedMachine.java
@@ -49,10 +49,8 @@
 
   InetSocketAddress address;
 
-  /**
-   * When the last report that was answered with 200 arrived; copies of earlier ones don't count.
-   */
-  Duration answeredAt;
+  /** From when the worker's lease counts. */
+  final WorkerLeaseStart leaseStart;
 
   /** Number of signs that responses don't reach the worker, since the last sign that they do. */
   private int missedResponses;
@@ -63,8 +61,6 @@
   /** The token of the records when the last report was answered; -1 for none. */
   long answeredUnderToken = -1;
 
-  private Duration formerOwnerUntil;
-
   /**
    * Whether the machine needs no commands until it reports something new or the records that
    * concern it change.
@@ -131,8 +127,7 @@
     this.name = name;
     this.history = history;
     this.ownedSince = ownedSince;
-    this.answeredAt = now;
-    this.formerOwnerUntil = formerOwnerUntil;
+    this.leaseStart = new WorkerLeaseStart(now, formerOwnerUntil);
     this.forgetsDueAt = now.plus(CommandSender.FORGET_DELAY);
   }
 
@@ -146,34 +141,10 @@
   void updateOwnedSince(long revision, Duration formerUntil) {
     if (ownedSince != revision) {
       ownedSince = revision;
-      formerOwnerUntil = formerUntil;
-    }
-  }
-
-  /**
-   * The worker has reported this controller's token, in any kind of message: from now on it drops
-   * the responses of former owners. Until now it may have accepted them, even if this controller
-   * has answered it before.
-   */
-  void onTokenReported(Duration now) {
-    if (now.compareTo(formerOwnerUntil) < 0) {
-      formerOwnerUntil = now;
+      leaseStart.onFormerOwner(formerUntil);
     }
   }
 
-  /** The latest moment at which a former owner can have answered a report of the worker. */
-  Duration formerOwnerUntil() {
-    return formerOwnerUntil;
-  }
-
-  /**
-   * The latest moment from which the worker's lease can count: that of a response of this owner or
-   * of a former one.
-   */
-  Duration lastAnswerAt() {
-    return formerOwnerUntil.compareTo(answeredAt) > 0 ? formerOwnerUntil : answeredAt;
-  }
-
   /**
    * Reads a report. One that repeats the report before it, but for the sequence number, is
    * recognized by its bytes and not decoded again.
@@ -218,7 +189,7 @@
       missedResponses = 0;
     }
     lastHeartbeat = report.withoutTasks();
-    answeredAt = now;
+    leaseStart.onAnswered(now);
     answeredUnderToken = token;
   }
 
@@ -237,7 +208,7 @@
    * the worker.
    */
   Duration lastHealthyAt() {
-    return responsesLost() ? missedResponsesSince : answeredAt;
+    return responsesLost() ? missedResponsesSince : leaseStart.answeredAt();
   }
 
   /** Whether reports of the worker arrive while responses and commands don't reach it. */
--- a/src/main/java/io/tansystack/workers/OwnedMachines.java
+++ b/src/main/java/io/tansystack/workers/OwnedMachines.java
@@ -75,8 +75,20 @@
     return machines.computeIfAbsent(record.name(), name -> acquire(record));
   }
 
+  /** The kinds of messages that contain a worker's report. */
+  enum ReportSource {
+    HEARTBEAT("report"),
+    COMMAND_RESPONSE("response to commands");
+
+    private final String text;
+
+    ReportSource(String text) {
+      this.text = text;
+    }
+  }
+
   /** Applies a report unless a newer one is known; reports may arrive minutes late. */
-  void applyReport(OwnedMachine machine, Report report) {
+  void applyReport(OwnedMachine machine, Report report, ReportSource source) {
     if (machine.latest != null && !report.newerThan(machine.latest)) {
       return;
     }
@@ -85,6 +97,16 @@
       machine.latest = report.withTasks(machine.latest.tasks());
       return;
     }
+    if (machine.leaseStart.onSessionSeen(report.session(), loop.now()) && machine.latest != null) {
+      log.info(
+          "session machine={} session={} before={} seen in={} token={} copy={}",
+          machine.name,
+          report.session(),
+          machine.latest.session(),
+          source.text,
+          report.token(),
+          clusterState.revision());
+    }
     MachineRecord record = clusterState.machine(machine.name);
     long claimToken = record == null ? Long.MAX_VALUE : clusterState.token(record);
     logStartedByNobody(machine, report, machine.apply(report, claimToken));
--- a/src/main/java/io/tansystack/workers/WorkerLeaseMonitor.java
+++ b/src/main/java/io/tansystack/workers/WorkerLeaseMonitor.java
@@ -98,6 +98,7 @@
   /** The facts on which the deletion is based, for its log line; collected when it is decided. */
   private String evidence(OwnedMachine machine, MachineRecord record, Duration now) {
     Report latest = machine.latest;
+    WorkerLeaseStart leaseStart = machine.leaseStart;
     return "claimant="
         + record.claimant()
         + "@"
@@ -108,21 +109,24 @@
         + (latest == null ? "unheard" : latest.session())
         + " shown="
         + (latest == null ? 0 : latest.token())
+        + " counts from="
+        + leaseStart.latestEvent()
         + " answered="
-        + now.minus(machine.answeredAt).toMillis()
+        + now.minus(leaseStart.answeredAt()).toMillis()
+        + "ms first seen="
+        + now.minus(leaseStart.sessionSeenAt()).toMillis()
         + "ms former="
-        + now.minus(machine.formerOwnerUntil()).toMillis()
+        + now.minus(leaseStart.formerOwnerUntil()).toMillis()
         + "ms copy="
         + clusterState.revision();
   }
 
   /**
-   * A moment by which the worker's lease has expired unless this controller answers it again: the
-   * lease counts from when the last answered report was sent, which was before its owner received
-   * it.
+   * A moment by which the worker's lease has expired unless this controller answers it again, or
+   * hears of a later session.
    */
   private Duration leaseEndsBy(OwnedMachine machine) {
     Duration drift = workerLease.dividedBy(DRIFT_DIVISOR);
-    return machine.lastAnswerAt().plus(workerLease).plus(drift).plus(TIMER_MARGIN);
+    return machine.leaseStart.latest().plus(workerLease).plus(drift).plus(TIMER_MARGIN);
   }
 }
--- a/src/main/java/io/tansystack/workers/WorkerManager.java
+++ b/src/main/java/io/tansystack/workers/WorkerManager.java
@@ -23,6 +23,7 @@
 import io.tansystack.wire.ReportHeader;
 import io.tansystack.wire.Responses;
 import io.tansystack.wire.ThrottledLogger;
+import io.tansystack.workers.OwnedMachines.ReportSource;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
@@ -103,7 +104,9 @@
     this.throttle = new CommandThrottle(loop, this::reconcileIfOwned);
     this.commandSender =
         new CommandSender(
-            loop, httpClient, clusterState, throttle, machines::applyReport,
+            loop, httpClient, clusterState, throttle,
+            (machine, report) ->
+                machines.applyReport(machine, report, ReportSource.COMMAND_RESPONSE),
             m -> reconcileIfOwned(m.name));
     this.leaseMonitor =
         new WorkerLeaseMonitor(loop, store, clusterState, lease, label, workerLease);
@@ -206,7 +209,7 @@
       }
       reply.send(200, machine.response(machine.token(token)));
     }
-    machines.applyReport(machine, report);
+    machines.applyReport(machine, report, ReportSource.HEARTBEAT);
     reconcile(machine);
   }
 
@@ -332,7 +335,7 @@
     Report latest = machine.latest;
     long token = clusterState.token(record);
     if (latest != null && latest.token() >= token) {
-      machine.onTokenReported(now);
+      machine.leaseStart.onTokenReported(now);
     }
     if (latest == null || !lease.valid()) {
       return;
--- a/src/test/java/io/tansystack/sim/RestartInPlaceTest.java
+++ b/src/test/java/io/tansystack/sim/RestartInPlaceTest.java
@@ -69,7 +69,7 @@
     return busy.get(random.nextInt(busy.size()));
   }
 
-  /** Restarts the machine and cancels the job of one of its tasks, which makes its owner send a command. */
+  /** Restarts the machine and cancels the job of one of its tasks, so that its owner commands it. */
   private void restartAndCommand(EmulatedWorker machine) {
     List<String> tasks = machine.liveTasks();
     Duration downTime = randomMs(100, 2000);
--- a/src/test/java/io/tansystack/workers/OwnedMachineTest.java
+++ b/src/test/java/io/tansystack/workers/OwnedMachineTest.java
@@ -76,15 +76,15 @@
       }
       answered = ++position == countsFrom ? now : answered;
     }
-    assertEquals(answered, machine.answeredAt);
+    assertEquals(answered, machine.leaseStart.answeredAt());
     assertEquals(responsesLost, machine.responsesLost());
   }
 
   /**
    * Events and the seconds in which they happen, after this controller became the owner while a
    * former owner may act for another 17 s: a report is answered, the worker reports the token
-   * ("shown"), or the record changes and changes back. Last column: the second from which the lease
-   * can count.
+   * ("shown"), a later session is first seen, or the record changes and changes back. Last column:
+   * the second from which the lease can count.
    */
   @ParameterizedTest
   @CsvSource(
@@ -102,13 +102,21 @@
           shown 5, changed 8                | 25
           shown 5, changed 8, shown 10      | 10
           answered 3, changed 8, answered 9 | 25
+          shown 5, session 9                | 9
+          shown 5, answered 6, session 9    | 9
+          shown 5, session 6, answered 9    | 9
+          shown 5, session 9, session 30    | 30
+          session 9                         | 17
+          session 9, shown 12               | 12
+          session 20, changed 21, shown 22  | 22
           """)
-  void leaseCountsFromFormerOwnersAnswersUntilTokenIsReported(String events, int lastAnswerS) {
+  void leaseCountsFromTheLatestEventThatMayHaveBegunOrRenewedIt(String events, int lastAnswerS) {
     Duration leaseDuration = Duration.ofSeconds(17);
     OwnedMachine machine =
         new OwnedMachine("n-1", new MachineHistory(50), Duration.ZERO, TOKEN, leaseDuration);
     long revision = TOKEN;
     int sequence = 0;
+    long session = 1;
     for (String event : events.split(", ")) {
       String[] parts = event.split(" ");
       Duration now = Duration.ofSeconds(Long.parseLong(parts[1]));
@@ -118,12 +126,13 @@
           machine.onAnswered(report, TOKEN, now);
           machine.apply(report, TOKEN);
         }
-        case "shown" -> machine.onTokenReported(now);
+        case "shown" -> machine.leaseStart.onTokenReported(now);
+        case "session" -> machine.leaseStart.onSessionSeen(++session, now);
         case "changed" -> machine.updateOwnedSince(++revision, now.plus(leaseDuration));
         default -> assertEquals("none", parts[0]);
       }
     }
-    assertEquals(Duration.ofSeconds(lastAnswerS), machine.lastAnswerAt());
+    assertEquals(Duration.ofSeconds(lastAnswerS), machine.leaseStart.latest());
   }
 
   private static Report report(int sequence, long token, TaskReport.State state) {
