--- a/src/test/java/io/tansystack/sim/RandomFaultRun.java
+++ b/src/test/java/io/tansystack/sim/RandomFaultRun.java
@@ -1,6 +1,7 @@
 package io.tansystack.sim;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.tansystack.emulator.EmulatedCloud.RequestKind;
 import io.tansystack.emulator.EmulatedWorker;
 import io.tansystack.settings.SettingsTest;
 import io.tansystack.sim.SimUsers.UserJob;
@@ -31,7 +32,9 @@
     RESPONSES_LOST, DUPLICATES_TO_NEXT_LEADER, CANCEL_NOW, CANCEL_AT_END, UNUSUAL_REQUESTS, QUERIES_ON_CHANGE,
     QUICK_BOOTS, JOB_STREAM, LEADER_CRASHES, ZONE_PARTITION, ROLLING_RESTART, WRITE_LIMIT,
     // Only drawn with seeds above LAST_WIDE_SEED.
-    REQUESTS_REPEATED
+    REQUESTS_REPEATED,
+    // Only drawn with seeds above LAST_REPEATED_SEED.
+    MACHINES_RESTARTED, CLOUD_OUTAGE
   }
 
   /** Seeds above this draw from all fault kinds and jobs; the others keep their original draws. */
@@ -40,6 +43,9 @@
   /** Seeds above this also draw {@link FaultKind#REQUESTS_REPEATED}, for a third of the faults. */
   static final long LAST_WIDE_SEED = 200_000;
 
+  /** Seeds above this also draw machines that restart in place and an unavailable cloud interface. */
+  static final long LAST_REPEATED_SEED = 300_000;
+
   /** A fault with start and duration in ms; {@code draw} selects its target and its strength. */
   record Fault(FaultKind kind, int startMs, int durationMs, int draw) {}
 
@@ -69,19 +75,24 @@
             case 1 -> Math.max(0, end - durationMs); // Both end at the same time.
             default -> end + random.nextInt(30) - 15; // Within 15 ms of the other's end.
           };
-      FaultKind firstUndrawn =
-          seed > LAST_NARROW_SEED ? FaultKind.REQUESTS_REPEATED : FaultKind.RESPONSES_LOST;
-      boolean repeated = seed > LAST_WIDE_SEED && random.nextInt(3) == 0;
-      FaultKind kind =
-          repeated
-              ? FaultKind.REQUESTS_REPEATED
-              : FaultKind.values()[random.nextInt(firstUndrawn.ordinal())];
-      faults.add(new Fault(kind, Math.max(0, startMs), durationMs, random.nextInt(1000)));
+      faults.add(new Fault(drawKind(seed, random), Math.max(0, startMs), durationMs, random.nextInt(1000)));
       end = Math.max(end, Math.max(0, startMs) + durationMs);
     }
     return faults;
   }
 
+  private static FaultKind drawKind(long seed, Random random) {
+    if (seed > LAST_REPEATED_SEED && random.nextBoolean()) {
+      return random.nextInt(3) == 0 ? FaultKind.CLOUD_OUTAGE : FaultKind.MACHINES_RESTARTED;
+    }
+    if (seed > LAST_WIDE_SEED && random.nextInt(3) == 0) {
+      return FaultKind.REQUESTS_REPEATED;
+    }
+    FaultKind firstUndrawn =
+        seed > LAST_NARROW_SEED ? FaultKind.REQUESTS_REPEATED : FaultKind.RESPONSES_LOST;
+    return FaultKind.values()[random.nextInt(firstUndrawn.ordinal())];
+  }
+
   /** Runs the seed with the given faults and returns the violations. */
   static Set<String> simulate(long seed, List<Fault> faults) throws Exception {
     return new RandomFaultRun(seed, faults).simulate();
@@ -290,6 +301,15 @@
         : fault.draw % controllerCount;
   }
 
+  /** Restarts a machine in place one to three times while the fault lasts. */
+  private void restartRepeatedly(EmulatedWorker worker, Fault fault) {
+    for (int i = 0; i < 1 + fault.draw % 3; i++) {
+      loop.after(
+          Duration.ofMillis(random.nextInt(fault.durationMs)),
+          () -> restartInPlace(worker, Duration.ofMillis(100 + random.nextInt(1901))));
+    }
+  }
+
   private List<EmulatedWorker> affectedWorkers(Fault fault) {
     List<EmulatedWorker> all = List.copyOf(workers.values());
     return all.subList(0, all.size() * (1 + fault.draw % 3) / 3);
@@ -363,6 +383,13 @@
         }
       }
       case REQUESTS_REPEATED -> repeater.share = 0.2 + fault.draw % 5 * 0.2;
+      case MACHINES_RESTARTED ->
+          affectedWorkers(fault).forEach(worker -> restartRepeatedly(worker, fault));
+      case CLOUD_OUTAGE -> {
+        List<RequestKind> kinds = List.of(RequestKind.values());
+        cloudOutage.addAll(
+            fault.draw % 5 == 4 ? kinds : List.of(kinds.get(fault.draw % kinds.size())));
+      }
       case WRITE_LIMIT -> store.limits(store.limits().withWrites(15 + fault.draw % 25));
       case REPORTS_BLOCKED -> affectedWorkers(fault).forEach(worker -> reportsBlocked.add(worker.name()));
       case INBOUND_BLOCKED -> affectedWorkers(fault).forEach(worker -> inboundBlocked.add(worker.name()));
@@ -391,6 +418,7 @@
       }
       case ZONE_PARTITION -> partitionedZone = null;
       case WRITE_LIMIT -> store.limits(store.limits().withWrites(Double.MAX_VALUE));
+      case CLOUD_OUTAGE -> cloudOutage.clear();
       case OUTAGE -> outage = false;
       case REFUSED_BY_STORE -> refusedByStore = -1;
       case SLOW_STORE -> maxStoreDelay = Duration.ZERO;
--- a/src/test/java/io/tansystack/sim/RandomFaultsTest.java
+++ b/src/test/java/io/tansystack/sim/RandomFaultsTest.java
@@ -6,7 +6,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -24,7 +26,7 @@
   private static final long[] REGRESSION_SEEDS =
       {721, 1074, RandomFaultRun.LAST_NARROW_SEED + 10, RandomFaultRun.LAST_NARROW_SEED + 55};
 
-  /** 104 seeds, or those that the property {@code tansystack.pairs} gives as {@code FROM-TO}. */
+  /** 134 seeds, or those that the property {@code tansystack.pairs} gives as {@code FROM-TO}. */
   static LongStream seeds() {
     String requested = System.getProperty("tansystack.pairs", "");
     if (requested.isEmpty()) {
@@ -34,9 +36,13 @@
       LongStream repeatedRequests =
           LongStream.rangeClosed(
               RandomFaultRun.LAST_WIDE_SEED + 1, RandomFaultRun.LAST_WIDE_SEED + 20);
+      LongStream machineRestarts =
+          LongStream.rangeClosed(
+              RandomFaultRun.LAST_REPEATED_SEED + 1, RandomFaultRun.LAST_REPEATED_SEED + 30);
       LongStream narrow =
           LongStream.concat(LongStream.rangeClosed(1, 40), LongStream.of(REGRESSION_SEEDS));
-      return LongStream.concat(LongStream.concat(narrow, wide), repeatedRequests);
+      return Stream.of(narrow, wide, repeatedRequests, machineRestarts)
+          .flatMapToLong(Function.identity());
     }
     String[] range = requested.split("-");
     return LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[1]));
--- a/src/test/java/io/tansystack/sim/RestartInPlaceTest.java
+++ b/src/test/java/io/tansystack/sim/RestartInPlaceTest.java
@@ -6,6 +6,7 @@
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -63,6 +64,56 @@
     assertRecovered(owner + " seed " + seed);
   }
 
+  /** What else is wrong with a machine that restarts. */
+  private enum Trouble { MUTE, DEAF, WITHOUT_COMMANDS, HUNG }
+
+  /**
+   * Machines in all kinds of trouble restart one to three times, commands are late, the cloud is down
+   * for some calls, and controllers and the state service are away for a while.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void restartsOfTroubledMachinesViolateNoRule(long seed) throws Exception {
+    random = new Random(seed);
+    taskRunTime = TASK_RUN_TIME;
+    delayedCommandShare = 0.2;
+    maxCommandDelay = Duration.ofSeconds(16);
+    startWithJobs(CONTROLLERS, 14, 30, 1);
+    cloudOutage.addAll(EnumSet.allOf(RequestKind.class));
+    for (int i = 0; i < 6; i++) {
+      EmulatedWorker machine = busyMachine();
+      Trouble trouble = Trouble.values()[random.nextInt(Trouble.values().length)];
+      beginTrouble(machine, trouble, randomMs(20_000, 90_000));
+      for (int restarts = 1 + random.nextInt(3); restarts > 0; restarts--) {
+        loop.after(randomMs(500, 40_000), () -> restartAndCommand(machine));
+      }
+    }
+    int victim = random.nextInt(CONTROLLERS);
+    loop.after(randomMs(1000, 60_000), () -> restart(victim, 200 + random.nextInt(15_000)));
+    if (random.nextBoolean()) {
+      Duration begin = randomMs(1000, 40_000);
+      loop.after(begin, () -> outage = true);
+      loop.after(begin.plus(randomMs(500, 20_000)), () -> outage = false);
+    }
+    loop.runFor(Duration.ofSeconds(100));
+    assertRecovered("seed " + seed);
+  }
+
+  private void beginTrouble(EmulatedWorker machine, Trouble trouble, Duration time) {
+    if (trouble == Trouble.HUNG) {
+      machine.hangUntil(loop.now().plus(time.dividedBy(2)));
+      return;
+    }
+    Set<String> affected =
+        switch (trouble) {
+          case MUTE -> reportsBlocked;
+          case DEAF -> inboundBlocked;
+          default -> commandsBlocked;
+        };
+    affected.add(machine.name());
+    loop.after(time, () -> affected.remove(machine.name()));
+  }
+
   private EmulatedWorker busyMachine() {
     List<EmulatedWorker> busy =
         machines().stream().filter(worker -> !worker.liveTasks().isEmpty()).toList();
--- a/src/test/java/io/tansystack/sim/SimFleet.java
+++ b/src/test/java/io/tansystack/sim/SimFleet.java
@@ -28,6 +28,9 @@
 
   /** Restarts a machine in place; its next session reports after the given time. */
   void restartInPlace(EmulatedWorker worker, Duration downTime) {
+    if (worker.isDead()) {
+      return;
+    }
     worker.restart(downTime);
     loop.after(downTime, () -> report(worker));
   }
