A session that no answered report has shown gets no new tasks

In the incident eight tasks were started on a machine that had reported to nobody for ten seconds, in a session that its owner knew only from the response to a command, and were lost with its lease 35 s later. Nothing renews the lease of such a session. Its owner now publishes the machine as unfit for tasks until it has answered a report of the newest session (OwnedMachine.unfitForTasks, formerly only the signs of lost responses; the field between controllers keeps its name, so older planners understand it). Stops and forgets go there as before.

--- a/src/main/java/io/tansystack/jobs/MachineStateBuilder.java
+++ b/src/main/java/io/tansystack/jobs/MachineStateBuilder.java
@@ -70,7 +70,7 @@
             && view.token() == clusterState.token(record)
             && view.report().token() > 0 // Else the only report may be a delayed copy.
             && view.report().reclaimNoticeS() == null
-            && !view.responsesLost()
+            && !view.unfitForTasks()
             && view.silentMs() < maxSilentMs;
     return new MachineState(
         record.name(),
--- a/src/main/java/io/tansystack/workers/MachineView.java
+++ b/src/main/java/io/tansystack/workers/MachineView.java
@@ -38,7 +38,7 @@
   private final double fetchGbPerS;
   private final double slowness;
   private final long silentMs;
-  private final boolean responsesLost;
+  private final boolean unfitForTasks;
   private Map<String, List<TaskReport>> exited;
 
   /**
@@ -48,7 +48,8 @@
    * @param fetchGbPerS measured average, 0 if unknown
    * @param slowness measured run time divided by the predicted one, averaged; 0 if unknown
    * @param silentMs how long the machine has been silent
-   * @param responsesLost whether its reports arrive and its owner's responses don't
+   * @param unfitForTasks whether its owner has signs that responses don't reach it, or has answered no report of
+   *     its newest session
    */
   public MachineView(
       Report report,
@@ -58,7 +59,7 @@
       double fetchGbPerS,
       double slowness,
       long silentMs,
-      boolean responsesLost) {
+      boolean unfitForTasks) {
     this.report = report;
     this.token = token;
     this.absentAttempts = absentAttempts;
@@ -66,7 +67,7 @@
     this.fetchGbPerS = fetchGbPerS;
     this.slowness = slowness;
     this.silentMs = silentMs;
-    this.responsesLost = responsesLost;
+    this.unfitForTasks = unfitForTasks;
   }
 
   public Report report() {
@@ -97,8 +98,8 @@
     return silentMs;
   }
 
-  public boolean responsesLost() {
-    return responsesLost;
+  public boolean unfitForTasks() {
+    return unfitForTasks;
   }
 
   /**
@@ -197,7 +198,7 @@
     ObjectNode map = Cbor.map();
     map.set("report", report.withoutTasks().write());
     map.put("token", token).put("bw", fetchGbPerS).put("slow", slowness).put("silent", silentMs);
-    map.put("unhearing", responsesLost);
+    map.put("unhearing", unfitForTasks);
     Map<TaskGroup, BitSet> groups = new LinkedHashMap<>();
     for (TaskReport task : report.tasks()) {
       groups
--- a/src/main/java/io/tansystack/workers/MachineViewPublisher.java
+++ b/src/main/java/io/tansystack/workers/MachineViewPublisher.java
@@ -57,7 +57,7 @@
         && reportsToken(previous.report()) == reportsToken(machine.latest)
         && (previous.report().reclaimNoticeS() == null) == (machine.latest.reclaimNoticeS() == null)
         && previous.token() == token
-        && previous.responsesLost() == machine.responsesLost()
+        && previous.unfitForTasks() == machine.unfitForTasks()
         && previous.absentAttempts().equals(absentAttempts)
         && sincePublished.compareTo(isSilent(silence) ? SILENT_INTERVAL : UNCHANGED_INTERVAL) < 0) {
       return;
@@ -71,7 +71,7 @@
             machine.history.fetchGbPerS(),
             machine.history.slowness(),
             Math.max(0, silence.toMillis()),
-            machine.responsesLost());
+            machine.unfitForTasks());
     if (previous != null
         && sincePublished.compareTo(minInterval(previous, view)) < 0
         && !(isSilent(silence) && sincePublished.compareTo(SILENT_INTERVAL) >= 0)) {
@@ -99,7 +99,7 @@
     Report before = previous.report();
     Report latest = view.report();
     if (previous.token() != view.token()
-        || previous.responsesLost() != view.responsesLost()
+        || previous.unfitForTasks() != view.unfitForTasks()
         || before.session() != latest.session()
         || reportsToken(before) != reportsToken(latest)
         || (before.reclaimNoticeS() == null) != (latest.reclaimNoticeS() == null)
--- a/src/main/java/io/tansystack/workers/OwnedMachine.java
+++ b/src/main/java/io/tansystack/workers/OwnedMachine.java
@@ -216,6 +216,20 @@
     return missedResponses >= MISSED_RESPONSES_LIMIT;
   }
 
+  /**
+   * Whether no report of the worker's newest session has been answered: the session is known only
+   * from responses to commands or from refused reports, so nothing renews its lease.
+   */
+  boolean sessionUnanswered() {
+    return latest != null
+        && (lastHeartbeat == null || lastHeartbeat.session() < latest.session());
+  }
+
+  /** Whether new tasks should go elsewhere although messages of the worker arrive. */
+  boolean unfitForTasks() {
+    return responsesLost() || sessionUnanswered();
+  }
+
   /** The encoded response to a report under the token. */
   byte[] response(long token) {
     if (responseToken != token) {
--- a/src/test/java/io/tansystack/peers/PreviousPeerFormatTest.java
+++ b/src/test/java/io/tansystack/peers/PreviousPeerFormatTest.java
@@ -158,7 +158,7 @@
     assertEquals(1.25, view.fetchGbPerS());
     assertEquals(2.5, view.slowness());
     assertEquals(1500, view.silentMs());
-    assertTrue(view.responsesLost());
+    assertTrue(view.unfitForTasks());
     assertEquals(Map.of("img-a", 4.5, "img-b", 0.5), view.images());
     assertEquals(2, view.absentAttempts().size());
     assertEquals("wk-000005", view.absentAttempts().get(0).job());
--- a/src/test/java/io/tansystack/sim/RestartInPlaceTest.java
+++ b/src/test/java/io/tansystack/sim/RestartInPlaceTest.java
@@ -1,5 +1,8 @@
 package io.tansystack.sim;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
 import io.tansystack.emulator.EmulatedCloud.RequestKind;
 import io.tansystack.emulator.EmulatedWorker;
 import java.time.Duration;
@@ -64,6 +67,26 @@
     assertRecovered(owner + " seed " + seed);
   }
 
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void unheardSessionGetsNoTasksThatItsLeaseWouldEnd(long seed) throws Exception {
+    random = new Random(seed);
+    taskRunTime = TASK_RUN_TIME;
+    startWithJobs(CONTROLLERS, MACHINES, JOBS, 1);
+    EmulatedWorker machine = busyMachine();
+    cloudOutage.add(RequestKind.DELETE);
+    reportsBlocked.add(machine.name());
+    loop.runFor(randomMs(500, 5500));
+    restartAndCommand(machine);
+    loop.runFor(Duration.ofSeconds(10));
+    assertEquals(Set.of(), machine.heldAttempts(), "before a report of the session was answered");
+    reportsBlocked.clear();
+    submitJobs(MACHINES * 4, 1);
+    loop.runFor(Duration.ofSeconds(20));
+    assertFalse(machine.heldAttempts().isEmpty(), "tasks come back with its reports");
+    assertRecovered("seed " + seed);
+  }
+
   /** What else is wrong with a machine that restarts. */
   private enum Trouble { MUTE, DEAF, WITHOUT_COMMANDS, HUNG }
 
--- a/src/test/java/io/tansystack/workers/OwnedMachineTest.java
+++ b/src/test/java/io/tansystack/workers/OwnedMachineTest.java
@@ -171,6 +171,24 @@
     assertEquals(TOKEN + 9, machine.token(TOKEN + 9));
   }
 
+  /** Columns: reports (a: answered, u: not answered) by session, and whether tasks may go there. */
+  @ParameterizedTest
+  @CsvSource({"a1, true", "u1, false", "a1 u2, false", "a1 u2 a2, true", "a1 u2 a1, false"})
+  void machineWhoseNewestSessionHasNoAnsweredReportGetsNoTasks(String reports, boolean fit) {
+    OwnedMachine machine = machine();
+    int sequence = 0;
+    for (String text : reports.split(" ")) {
+      Report report = report(text.substring(1) + " " + ++sequence + " " + TOKEN);
+      if (text.startsWith("a")) {
+        machine.onAnswered(report, TOKEN, Duration.ofSeconds(sequence));
+      }
+      if (machine.latest == null || report.newerThan(machine.latest)) {
+        machine.apply(report, TOKEN);
+      }
+    }
+    assertEquals(fit, !machine.sessionUnanswered());
+  }
+
   /** Columns: the token of the report before, that of the report, who started the attempt. */
   @ParameterizedTest
   @CsvSource({
