--- a/src/main/java/io/tansystack/emulator/CellRun.java
+++ b/src/main/java/io/tansystack/emulator/CellRun.java
@@ -45,6 +45,7 @@
   private final EmulatedUsers users;
   private final ControllerLauncher controllers;
   private final double memoryLimitMb;
+  private final Duration createdAt = now();
 
   /**
    * @param cellIndex index of the cell, from which its addresses are derived
@@ -74,7 +75,11 @@
     this.fleet = new EmulatedFleet(workerRole, settings, addresses, ruleChecker, taskTimes);
     this.users = new EmulatedUsers(userRole, settings, addresses, ruleChecker, taskTimes);
     this.controllers = new ControllerLauncher(settings, addresses, deployFile, folder);
-    EmulatedCloud cloud = new EmulatedCloud(workerRole.loop(), fleet, kind -> false);
+    EmulatedCloud cloud =
+        new EmulatedCloud(
+            workerRole.loop(),
+            fleet,
+            kind -> settings.cloudOutage().affects(kind, now().minus(createdAt)));
     storeRole
         .server()
         .listen(
@@ -274,6 +279,7 @@
         storeResult(before, after, seconds),
         trafficPerWorker(before.traffic, after.traffic, seconds),
         workerRole.call(fleet::repeatedCommandCount),
+        workerRole.call(fleet::restartCount),
         ruleChecker.violationCount(),
         ruleChecker.violations());
   }
--- a/src/main/java/io/tansystack/emulator/EmulatedFleet.java
+++ b/src/main/java/io/tansystack/emulator/EmulatedFleet.java
@@ -61,6 +61,7 @@
   private final Set<TaskId> completed = new HashSet<>();
   private final TrafficCounters traffic = new TrafficCounters();
   private int machineCount;
+  private int restartCount;
 
   EmulatedFleet(
       RoleEventLoop role,
@@ -103,6 +104,29 @@
       EmulatedWorker worker = addWorker(type, zones.get(i % zones.size()));
       senders.get(worker.name()).startIn(randomDelay(settings.workerTimes().reportInterval()));
     }
+    if (!settings.machineRestarts().interval().isZero()) {
+      role.loop().after(settings.machineRestarts().interval(), this::restartRandomMachine);
+    }
+  }
+
+  private void restartRandomMachine() {
+    ScaleSettings.MachineRestarts restarts = settings.machineRestarts();
+    role.loop().after(restarts.interval(), this::restartRandomMachine);
+    List<String> alive = List.copyOf(senders.keySet());
+    if (alive.isEmpty()) {
+      return;
+    }
+    String name = alive.get(random.nextInt(alive.size()));
+    Duration downTime =
+        restarts.minDown().plus(randomDelay(restarts.maxDown().minus(restarts.minDown())));
+    rented.get(name).restart(downTime);
+    senders.get(name).onRestart(downTime);
+    restartCount++;
+  }
+
+  /** Number of restarts of machines in place. */
+  int restartCount() {
+    return restartCount;
   }
 
   private Duration randomDelay(Duration span) {
@@ -131,6 +155,9 @@
   }
 
   private void serve(EmulatedWorker worker, String path, byte[] body, Reply reply) {
+    if (worker.isRestarting()) {
+      return; // The caller gets no response.
+    }
     int status = 200;
     if (path.equals("/orders")) {
       traffic.commands++;
--- a/src/main/java/io/tansystack/emulator/MultiCellRun.java
+++ b/src/main/java/io/tansystack/emulator/MultiCellRun.java
@@ -168,6 +168,7 @@
             mean(traffic, WorkerTraffic::commandsPerSecond),
             mean(traffic, WorkerTraffic::bytesPerSecond)),
         (int) sum(results, ScaleResult::repeatedCommands),
+        (int) sum(results, ScaleResult::machineRestarts),
         (long) sum(results, ScaleResult::brokenCount),
         broken);
   }
--- a/src/main/java/io/tansystack/emulator/ReportSender.java
+++ b/src/main/java/io/tansystack/emulator/ReportSender.java
@@ -38,6 +38,10 @@
   private final Random random;
   private int target;
   private boolean inFlight;
+
+  /** Incremented by each restart of the machine; responses to earlier reports are not received. */
+  private int restarts;
+
   private boolean changePending;
   private boolean stopped;
   private Duration sentAt = Duration.ZERO;
@@ -71,6 +75,14 @@
     schedule(delay);
   }
 
+  /** The machine restarts: it receives no response to earlier reports, and reports when it is back. */
+  void onRestart(Duration downTime) {
+    restarts++;
+    inFlight = false;
+    changePending = false;
+    schedule(downTime);
+  }
+
   void stop() {
     stopped = true;
     if (nextReport != null) {
@@ -104,6 +116,7 @@
     sentAt = loop.now();
     Duration reportSentAt = sentAt;
     long session = worker.session();
+    int restartsBefore = restarts;
     byte[] body = Cbor.encode(worker.report().write());
     traffic.reports++;
     traffic.reportBytes += body.length + TrafficCounters.REQUEST_HEADER_BYTES;
@@ -118,6 +131,9 @@
           @Override
           public void onResponse(int status, byte[] responseBody) {
             traffic.reportBytes += responseBody.length + TrafficCounters.RESPONSE_HEADER_BYTES;
+            if (restarts != restartsBefore) {
+              return;
+            }
             inFlight = false;
             handleReportResponse(
                 status, EmulatedFleet.decodeOrNull(responseBody), reportSentAt, session);
@@ -125,6 +141,9 @@
 
           @Override
           public void onNoResponse(boolean refused) {
+            if (restarts != restartsBefore) {
+              return;
+            }
             inFlight = false;
             tryNextNode();
           }
--- a/src/main/java/io/tansystack/emulator/ScaleResult.java
+++ b/src/main/java/io/tansystack/emulator/ScaleResult.java
@@ -16,6 +16,7 @@
  * @param lostTasks tasks killed because their worker's lease expired
  * @param memoryMb resident memory of all processes together at the end of the measured phase
  * @param repeatedCommands copies of executed commands that workers have received
+ * @param machineRestarts restarts of machines in place
  * @param brokenCount number of rule violations
  * @param broken descriptions of the first distinct rule violations
  */
@@ -36,6 +37,7 @@
     StoreResult store,
     WorkerTraffic workerTraffic,
     int repeatedCommands,
+    int machineRestarts,
     long brokenCount,
     List<String> broken) {
 
--- a/src/main/java/io/tansystack/emulator/ScaleSettings.java
+++ b/src/main/java/io/tansystack/emulator/ScaleSettings.java
@@ -4,6 +4,9 @@
 import io.tansystack.settings.TomlTable;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
 
 /**
  * Settings of a scale run. Every key has a default, and the defaults are the full planned size.
@@ -31,6 +34,8 @@
     Timeline timeline,
     Faults faults,
     RepeatedCommands repeatedCommands,
+    MachineRestarts machineRestarts,
+    CloudOutage cloudOutage,
     WorkerTimes workerTimes,
     StateService state,
     Cloud cloud) {
@@ -73,6 +78,48 @@
    */
   public record RepeatedCommands(double share, Duration minDelay, Duration maxDelay) {}
 
+  /**
+   * Machines that restart in place throughout the run: all their tasks end, and the next session
+   * begins.
+   *
+   * @param interval time between two restarts, each of a random machine; zero for none
+   * @param minDown the shortest time until the machine is back
+   * @param maxDown the longest time until the machine is back
+   */
+  public record MachineRestarts(Duration interval, Duration minDown, Duration maxDown) {}
+
+  /**
+   * A time in which the cloud's interface answers 503.
+   *
+   * @param start time from the start of the run
+   * @param duration length of the outage; zero for none
+   * @param calls the kind of calls that fail, or "all"
+   */
+  public record CloudOutage(Duration start, Duration duration, String calls) {
+    private static final String ALL = "all";
+
+    /** Whether calls of the kind fail, at a time from the start of the run. */
+    boolean affects(EmulatedCloud.RequestKind kind, Duration elapsed) {
+      boolean during =
+          elapsed.compareTo(start) >= 0 && elapsed.compareTo(start.plus(duration)) < 0;
+      return during && (calls.equals(ALL) || calls.equals(settingName(kind)));
+    }
+
+    private static String settingName(EmulatedCloud.RequestKind kind) {
+      return kind.name().toLowerCase(Locale.ROOT);
+    }
+
+    private void validate() throws SettingsException {
+      List<String> allowed = new ArrayList<>(List.of(ALL));
+      for (EmulatedCloud.RequestKind kind : EmulatedCloud.RequestKind.values()) {
+        allowed.add(settingName(kind));
+      }
+      if (!allowed.contains(calls)) {
+        throw new SettingsException("cloud_outage.calls: not one of " + allowed);
+      }
+    }
+  }
+
   /** Intervals and time limits of workers, as in the platform's settings. */
   public record WorkerTimes(
       Duration reportInterval,
@@ -110,6 +157,8 @@
     TomlTable times = root.tableOrEmpty("timeline");
     TomlTable faults = root.tableOrEmpty("faults");
     TomlTable repeats = root.tableOrEmpty("repeated_commands");
+    TomlTable restarts = root.tableOrEmpty("machine_restarts");
+    TomlTable outage = root.tableOrEmpty("cloud_outage");
     TomlTable workers = root.tableOrEmpty("worker_times");
     TomlTable state = root.tableOrEmpty("state");
     TomlTable cloud = root.tableOrEmpty("cloud");
@@ -135,6 +184,14 @@
                 repeats.numberOr("share", 0, 0, 1),
                 repeats.secondsOr("min_s", 1, 0, MAX_SECONDS),
                 repeats.secondsOr("max_s", 72, 0, MAX_SECONDS)),
+            new MachineRestarts(
+                restarts.secondsOr("every_s", 0, 0, MAX_SECONDS),
+                restarts.secondsOr("min_down_s", 0.1, 0, MAX_SECONDS),
+                restarts.secondsOr("max_down_s", 2, 0, MAX_SECONDS)),
+            new CloudOutage(
+                outage.secondsOr("starts_s", 0, 0, MAX_SECONDS),
+                outage.secondsOr("lasts_s", 0, 0, MAX_SECONDS),
+                outage.stringOr("calls", CloudOutage.ALL)),
             new WorkerTimes(
                 workers.secondsOr("report_s", 5, 0.5, MAX_SECONDS),
                 workers.secondsOr("lease_s", 36, 1, MAX_SECONDS),
@@ -164,6 +221,10 @@
     if (repeatedCommands.maxDelay.compareTo(repeatedCommands.minDelay) < 0) {
       throw new SettingsException("repeated_commands.max_s: shorter than min_s");
     }
+    if (machineRestarts.maxDown.compareTo(machineRestarts.minDown) < 0) {
+      throw new SettingsException("machine_restarts.max_down_s: shorter than min_down_s");
+    }
+    cloudOutage.validate();
   }
 
   /** The settings of a single cell; only the first cell has faults. */
@@ -180,6 +241,8 @@
         timeline,
         index == 0 ? faults : new Faults(Duration.ZERO, 0, faults.restartInterval()),
         repeatedCommands,
+        machineRestarts,
+        cloudOutage,
         workerTimes,
         state,
         cloud);
@@ -207,6 +270,8 @@
             timeline,
             faults,
             repeatedCommands,
+            machineRestarts,
+            cloudOutage,
             workerTimes,
             state,
             cloud);
@@ -237,6 +302,14 @@
         "share = " + repeatedCommands.share,
         "min_s = " + seconds(repeatedCommands.minDelay),
         "max_s = " + seconds(repeatedCommands.maxDelay),
+        "[machine_restarts]",
+        "every_s = " + seconds(machineRestarts.interval),
+        "min_down_s = " + seconds(machineRestarts.minDown),
+        "max_down_s = " + seconds(machineRestarts.maxDown),
+        "[cloud_outage]",
+        "starts_s = " + seconds(cloudOutage.start),
+        "lasts_s = " + seconds(cloudOutage.duration),
+        "calls = \"" + cloudOutage.calls + "\"",
         "[worker_times]",
         "report_s = " + seconds(workerTimes.reportInterval),
         "lease_s = " + seconds(workerTimes.lease),
--- a/src/main/java/io/tansystack/emulator/ScaleTable.java
+++ b/src/main/java/io/tansystack/emulator/ScaleTable.java
@@ -72,6 +72,7 @@
         result.workerTraffic().commandsPerSecond(),
         result.workerTraffic().bytesPerSecond());
     line(text, "commands repeated after they were executed: %d", result.repeatedCommands());
+    line(text, "machines restarted in place: %d", result.machineRestarts());
     line(text, "rule violations: %d", result.brokenCount());
     result.broken().forEach(violation -> line(text, "  %s", violation));
     return text.toString();
--- a/src/test/java/io/tansystack/emulator/ScaleSettingsTest.java
+++ b/src/test/java/io/tansystack/emulator/ScaleSettingsTest.java
@@ -48,6 +48,18 @@
     assertEquals(Duration.ZERO, settings.cell(1).faults().duration());
   }
 
+  @ParameterizedTest
+  @CsvSource({"delete, DELETE, 5, true", "delete, RENT, 5, false", "all, RENT, 5, true",
+    "delete, DELETE, 4, false", "delete, DELETE, 7, false"})
+  void cloudOutageAffectsItsCallsWhileItLasts(
+      String calls, EmulatedCloud.RequestKind kind, int elapsedS, boolean affected)
+      throws SettingsException {
+    String text = "[cloud_outage]\nstarts_s = 5\nlasts_s = 2\ncalls = \"" + calls + "\"";
+    assertEquals(
+        affected,
+        ScaleSettings.parse(text).cloudOutage().affects(kind, Duration.ofSeconds(elapsedS)));
+  }
+
   @ParameterizedTest
   @CsvSource({
     "workers = 0,workers",
@@ -62,6 +74,10 @@
     "[cloud]@rps = 0,cloud.rps",
     "[repeated_commands]@share = 1.5,repeated_commands.share",
     "[repeated_commands]@min_s = 9@max_s = 5,repeated_commands.max_s",
+    "[machine_restarts]@every_s = -1,machine_restarts.every_s",
+    "[machine_restarts]@min_down_s = 3,machine_restarts.max_down_s",
+    "[cloud_outage]@lasts_s = -1,cloud_outage.lasts_s",
+    "[cloud_outage]@calls = 'reboot',cloud_outage.calls",
   })
   void errorNamesTheKey(String text, String key) {
     SettingsException error =
