The removal of a machine's record names the claim batch on which it was decided

Cause: a machine in a claim batch has no key of its own, and the removal of its record had 'the key is absent' as its condition. After the removal the key holds a tombstone, until no batch names the machine; then it is absent again, and a later batch may claim the returned machine. A removal of before that arrives once more, or is applied late, holds again and marks the machine as gone while its tasks run. A check of a version that does not tell 'unchanged' from 'changed and changed back'. docs/design.md had the case for placements and for confirmations of absence, not for removals, and the exhaustive test stops one step before it.

Fix: the removal by the owner also names the claim batch and its version (OwnershipConditions.recordApplies). Names of batches are not used again, and a batch that applies to a machine can't be removed before the machine has a key of its own.

Removals after the cloud's confirmation are unchanged: that machine is gone.

--- a/src/main/java/io/tansystack/cluster/ClusterState.java
+++ b/src/main/java/io/tansystack/cluster/ClusterState.java
@@ -357,6 +357,11 @@
         machineKey(name), machines.inClaimBatch(name) ? MachineRegistry.tombstone() : null, 0);
   }
 
+  /** The key of the claim batch that applies to the machine; the machine must be in one. */
+  String claimBatchKeyOf(String machine) {
+    return claimBatchKey(machines.claimBatchOf(machine));
+  }
+
   /** Keys and versions of batch records and tombstones that nothing refers to any more. */
   public List<Condition> obsoleteRecords() {
     List<Condition> result = new ArrayList<>();
--- a/src/main/java/io/tansystack/cluster/MachineRegistry.java
+++ b/src/main/java/io/tansystack/cluster/MachineRegistry.java
@@ -29,7 +29,7 @@
  * once no claim batch names the machine.
  */
 final class MachineRegistry {
-  private record ClaimBatch(long version, Map<String, MachineRecord> machines) {}
+  private record ClaimBatch(String name, long version, Map<String, MachineRecord> machines) {}
 
   private static final int MAX_GONE_NAMES = 5000;
 
@@ -128,7 +128,7 @@
       }
     }
     if (value != null) {
-      ClaimBatch batch = new ClaimBatch(version, records);
+      ClaimBatch batch = new ClaimBatch(name, version, records);
       claimBatches.put(name, batch);
       for (String machine : records.keySet()) {
         claimBatchesByMachine.put(machine, batch);
@@ -187,11 +187,21 @@
   }
 
   private MachineRecord earliestClaim(String name) {
+    ClaimBatch earliest = earliestBatch(name);
+    return earliest == null ? null : earliest.machines.get(name);
+  }
+
+  private ClaimBatch earliestBatch(String machine) {
     ClaimBatch earliest = null;
-    for (ClaimBatch batch : claimBatchesByMachine.get(name)) {
+    for (ClaimBatch batch : claimBatchesByMachine.get(machine)) {
       earliest = earliest == null || batch.version < earliest.version ? batch : earliest;
     }
-    return earliest == null ? null : earliest.machines.get(name);
+    return earliest;
+  }
+
+  /** The name of the claim batch that applies to the machine; the machine must be in one. */
+  String claimBatchOf(String machine) {
+    return earliestBatch(machine).name;
   }
 
   /** The versions of claim batches all of whose machines have individual keys, by batch name. */
--- a/src/main/java/io/tansystack/cluster/OwnershipConditions.java
+++ b/src/main/java/io/tansystack/cluster/OwnershipConditions.java
@@ -3,6 +3,7 @@
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.StoreProtocol.Condition;
 import io.tansystack.wire.StoreProtocol.Write;
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -28,22 +29,38 @@
         new Write(ClusterState.failoverKey(label), null, 0));
   }
 
+  /**
+   * Conditions that hold only while this very record of the cluster state applies to its machine.
+   * The condition on the individual key of a machine in a claim batch holds again after the machine
+   * was gone, once its tombstone is deleted; by then another claim batch may name it.
+   */
+  static List<Condition> recordApplies(ClusterState clusterState, MachineRecord machine) {
+    if (!machine.inClaimBatch()) {
+      return List.of(machine.condition());
+    }
+    String batchKey = clusterState.claimBatchKeyOf(machine.name());
+    return List.of(machine.condition(), new Condition(batchKey, machine.version()));
+  }
+
   /**
    * Conditions that hold while the controller, which must have a record, is the machine's owner as
-   * the cluster state shows and has been the owner without interruption. The second one invalidates
-   * transactions of an earlier incarnation of the controller that may still be under way: the
-   * machine may have come back since, under the same record. The third one holds while no other
-   * controller has become the owner, as a successor by a failover record or by registering again.
+   * the cluster state shows and has been the owner without interruption. The first ones hold while
+   * the machine's record applies, and not any later one. The next one invalidates transactions of
+   * an earlier incarnation of the controller that may still be under way: the machine may have come
+   * back since, under the same record. The last one holds while no other controller has become the
+   * owner, as a successor by a failover record or by registering again.
    */
   public static List<Condition> stillOwnedBy(
       ClusterState clusterState, MachineRecord machine, String label) {
-    return List.of(
-        machine.condition(),
+    List<Condition> conditions = new ArrayList<>(recordApplies(clusterState, machine));
+    conditions.add(
         new Condition(
-            ClusterState.controllerKey(label), clusterState.controllers().get(label).version()),
+            ClusterState.controllerKey(label), clusterState.controllers().get(label).version()));
+    conditions.add(
         new Condition(
             ClusterState.failoverKey(machine.claimant()),
             clusterState.failoverVersion(machine.claimant())));
+    return conditions;
   }
 
   /**
--- a/src/test/java/io/tansystack/cluster/MachineRegistryTest.java
+++ b/src/test/java/io/tansystack/cluster/MachineRegistryTest.java
@@ -1,10 +1,12 @@
 package io.tansystack.cluster;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.wire.StoreProtocol.Change;
 import io.tansystack.wire.StoreProtocol.Condition;
 import io.tansystack.wire.StoreProtocol.Write;
@@ -186,6 +188,40 @@
     }
   }
 
+  /** The history takes seven steps, one more than are explored. */
+  @Test
+  void removalDecidedOnAnEarlierClaimBatchDoesNotApplyToALaterOne() {
+    List<Change> history = new ArrayList<>();
+    add(history, ClusterState.claimBatchKey("c"), batch("c"));
+    ClusterState claimed = ChangeSequences.clusterState(history);
+    List<Condition> removal =
+        OwnershipConditions.recordApplies(claimed, claimed.machine(MACHINE));
+    assertTrue(holdsNow(removal, history));
+    for (String name : List.of(MACHINE, OTHER_MACHINE)) {
+      add(history, ClusterState.machineKey(name), MachineRegistry.tombstone());
+    }
+    add(history, ClusterState.claimBatchKey("c"), null);
+    for (String name : List.of(MACHINE, OTHER_MACHINE)) {
+      add(history, ClusterState.machineKey(name), null);
+    }
+    add(history, ClusterState.claimBatchKey("d"), batch("d"));
+    assertNotNull(ChangeSequences.clusterState(history).machine(MACHINE));
+    assertFalse(holdsNow(removal, history));
+  }
+
+  private static ObjectNode batch(String owner) {
+    return ClusterState.claimBatch(List.of(claimed(MACHINE, owner), claimed(OTHER_MACHINE, owner)));
+  }
+
+  private static void add(List<Change> history, String key, ObjectNode value) {
+    history.add(new Change(key, value, history.size() + 1));
+  }
+
+  private static boolean holdsNow(List<Condition> conditions, List<Change> history) {
+    Map<String, Change> present = ChangeSequences.present(history);
+    return conditions.stream().allMatch(c -> ChangeSequences.holds(c, present));
+  }
+
   @Test
   void delaysAndOrderNeverMakeAMachineSeemGone() {
     explore(List.of());
--- a/src/test/java/io/tansystack/sim/RepeatedRequestsTest.java
+++ b/src/test/java/io/tansystack/sim/RepeatedRequestsTest.java
@@ -1,8 +1,10 @@
 package io.tansystack.sim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.tansystack.emulator.EmulatedCloud.RequestKind;
 import io.tansystack.emulator.EmulatedWorker;
 import io.tansystack.settings.SettingsTest;
 import io.tansystack.sim.RequestRepeater.Receiver;
@@ -10,11 +12,14 @@
 import io.tansystack.wire.JobKind;
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.Priority;
+import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -228,6 +233,43 @@
     assertRecovered(receiver + " " + change);
   }
 
+  /** Transactions that mark a machine of a claim batch as gone. */
+  private final List<byte[]> removals = new ArrayList<>();
+
+  @Override
+  void deliver(
+      InetSocketAddress to,
+      String method,
+      String path,
+      byte[] body,
+      BiConsumer<Integer, byte[]> respond) {
+    if (path.equals("/commit") && decode(body).toString().contains("\"gone\":true")) {
+      removals.add(body);
+    }
+    super.deliver(to, method, path, body, respond);
+  }
+
+  /**
+   * All machines of a claim batch are declared gone and come back, claimed by another batch. Then
+   * the removals of their earlier records arrive once more.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void repeatedRemovalOfARecordDoesNotMakeAReturnedMachineSeemGone(long seed) throws Exception {
+    random = new Random(seed);
+    taskRunTime = Duration.ofSeconds(90);
+    startWithJobs(CONTROLLERS, 4, 8, 1);
+    cloudOutage.addAll(EnumSet.allOf(RequestKind.class));
+    machines().forEach(worker -> worker.hangUntil(loop.now().plusSeconds(55)));
+    loop.runFor(Duration.ofSeconds(62 + random.nextInt(8)));
+    assertTrue(machines().stream().anyMatch(worker -> !worker.liveTasks().isEmpty()), "back");
+    assertFalse(removals.isEmpty(), "machines were declared gone");
+    List.copyOf(removals).forEach(body -> deliver(STORE, "POST", "/commit", body, (s, b) -> {}));
+    loop.runFor(Duration.ofSeconds(10));
+    assertEquals(Set.of(), users().checker().violations);
+    assertRecovered("seed " + seed);
+  }
+
   /**
    * Workers have received tokens that only their owner knew of. If the next owner's were lower, its
    * answers would be dropped, and leases would expire.
