--- a/src/test/java/io/tansystack/http/HttpServerTest.java
+++ b/src/test/java/io/tansystack/http/HttpServerTest.java
@@ -11,6 +11,8 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -118,6 +120,88 @@
     }
   }
 
+  /** Requests that are malformed, end early, or claim to be longer than they are. */
+  private static final List<String> UNSOUND =
+      List.of(
+          "",
+          "\r\n\r\n",
+          "GET",
+          "GET /up HTTP/9.9\r\n\r\n",
+          "\u0000\u0001\u0016\u0003\u0001\r\n\r\n",
+          "GET /up HTTP/1.1\r\nHost",
+          "GET /%zz HTTP/1.1\r\nHost: c\r\n\r\n",
+          "GET /up HTTP/1.1\r\n" + "X: y\r\n".repeat(1000),
+          "GET /" + "x".repeat(100_000),
+          OPENED_BODY,
+          "POST /v1/jobs HTTP/1.1\r\nHost: c\r\nContent-Length: -1\r\n\r\nabc",
+          "POST /v1/jobs HTTP/1.1\r\nHost: c\r\nContent-Length: many\r\n\r\nabc",
+          "POST /v1/jobs HTTP/1.1\r\nHost: c\r\nContent-Length: 99999999999\r\n\r\nabc",
+          "POST /v1/jobs HTTP/1.1\r\nHost: c\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+          "POST /v1/jobs HTTP/1.1\r\nHost: c\r\nTransfer-Encoding: chunked\r\n\r\nfffff\r\nab");
+
+  /** Another client is served meanwhile, and the connections are closed in the stated time. */
+  @Test
+  void unsoundRequestsNeitherEndNorBlockTheServer() throws Exception {
+    List<Socket> sockets = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      for (String request : UNSOUND) {
+        sockets.add(connect(request));
+      }
+      assertServed();
+    }
+    for (Socket socket : sockets) {
+      assertTrue(closedWithin(socket, TIMEOUTS.idle().plus(ALLOWANCE)));
+      socket.close();
+    }
+    assertServed();
+  }
+
+  /** The request comes byte by byte, more slowly than the time allowed for a whole one. */
+  @ParameterizedTest
+  @ValueSource(strings = {REQUEST, OPENED_BODY})
+  void slowlySentRequestDoesNotBlockTheServer(String request) throws Exception {
+    try (Socket slow = connect("")) {
+      byte[] bytes = request.getBytes(StandardCharsets.US_ASCII);
+      long pauseMs = 2 * TIMEOUTS.transfer().toMillis() / bytes.length;
+      try {
+        for (byte b : bytes) {
+          slow.getOutputStream().write(b);
+          Thread.sleep(pauseMs);
+        }
+      } catch (SocketException e) {
+        // Closed: it took too long.
+      }
+      assertServed();
+      assertTrue(closedWithin(slow, TIMEOUTS.idle().plus(ALLOWANCE)));
+    }
+  }
+
+  /** A sound request in the forms that clients use is answered at once. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "POST /v1/jobs HTTP/1.1\r\nHost: c\r\nContent-Length: 3\r\n\r\nabc",
+        "POST /v1/jobs HTTP/1.1\r\nhOST: c\r\ncontent-LENGTH:3\r\nX-Unknown: 1\r\n\r\nabc",
+        "POST /v1/jobs HTTP/1.1\r\nHost: c\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        "POST http://c/v1/jobs HTTP/1.1\r\nHost: c\r\nContent-Length: 3\r\n\r\nabc",
+        "GET /up HTTP/1.1\r\nHost: c\r\nConnection: close\r\n\r\n"
+      })
+  void soundRequestInAnyFormIsAnswered(String request) throws Exception {
+    assertServed(request);
+  }
+
+  private void assertServed() throws IOException {
+    assertServed(REQUEST);
+  }
+
+  private void assertServed(String request) throws IOException {
+    try (Socket socket = connect(request)) {
+      socket.setSoTimeout((int) ALLOWANCE.toMillis());
+      byte[] status = socket.getInputStream().readNBytes(12);
+      assertEquals("HTTP/1.1 200", new String(status, StandardCharsets.US_ASCII));
+    }
+  }
+
   /** Sound workers report more often than the idle timeout, on one connection. */
   @Test
   void connectionInUseIsKept() throws Exception {
--- a/src/test/java/io/tansystack/sim/RandomFaultRun.java
+++ b/src/test/java/io/tansystack/sim/RandomFaultRun.java
@@ -34,7 +34,7 @@
     // Only drawn with seeds above LAST_WIDE_SEED.
     REQUESTS_REPEATED,
     // Only drawn with seeds above LAST_REPEATED_SEED.
-    MACHINES_RESTARTED, CLOUD_OUTAGE
+    MACHINES_RESTARTED, CLOUD_OUTAGE, CLOUD_CALLS_LATE
   }
 
   /** Seeds above this draw from all fault kinds and jobs; the others keep their original draws. */
@@ -83,7 +83,11 @@
 
   private static FaultKind drawKind(long seed, Random random) {
     if (seed > LAST_REPEATED_SEED && random.nextBoolean()) {
-      return random.nextInt(3) == 0 ? FaultKind.CLOUD_OUTAGE : FaultKind.MACHINES_RESTARTED;
+      return switch (random.nextInt(4)) {
+        case 0 -> FaultKind.CLOUD_OUTAGE;
+        case 1 -> FaultKind.CLOUD_CALLS_LATE;
+        default -> FaultKind.MACHINES_RESTARTED;
+      };
     }
     if (seed > LAST_WIDE_SEED && random.nextInt(3) == 0) {
       return FaultKind.REQUESTS_REPEATED;
@@ -390,6 +394,7 @@
         cloudOutage.addAll(
             fault.draw % 5 == 4 ? kinds : List.of(kinds.get(fault.draw % kinds.size())));
       }
+      case CLOUD_CALLS_LATE -> lateCloudCallShare = 0.3 + fault.draw % 3 * 0.3;
       case WRITE_LIMIT -> store.limits(store.limits().withWrites(15 + fault.draw % 25));
       case REPORTS_BLOCKED -> affectedWorkers(fault).forEach(worker -> reportsBlocked.add(worker.name()));
       case INBOUND_BLOCKED -> affectedWorkers(fault).forEach(worker -> inboundBlocked.add(worker.name()));
@@ -419,6 +424,7 @@
       case ZONE_PARTITION -> partitionedZone = null;
       case WRITE_LIMIT -> store.limits(store.limits().withWrites(Double.MAX_VALUE));
       case CLOUD_OUTAGE -> cloudOutage.clear();
+      case CLOUD_CALLS_LATE -> lateCloudCallShare = 0;
       case OUTAGE -> outage = false;
       case REFUSED_BY_STORE -> refusedByStore = -1;
       case SLOW_STORE -> maxStoreDelay = Duration.ZERO;
--- a/src/test/java/io/tansystack/sim/SimFaults.java
+++ b/src/test/java/io/tansystack/sim/SimFaults.java
@@ -88,6 +88,9 @@
   /** Whether duplicate reports are held until the leader changes, and then sent to the new one. */
   boolean duplicatesToNextLeader;
 
+  /** Share of rentals and deletions that get no response and are executed 5 to 60 s later. */
+  double lateCloudCallShare;
+
   /** Share of rentals that are executed but whose response is lost. */
   double lostRentalShare;
 
@@ -109,9 +112,13 @@
   /** Workers that receive no direct commands; their reports and the responses arrive. */
   final Set<String> commandsBlocked = new HashSet<>();
 
-  /** Share of commands, and of their responses, delayed by up to {@link #maxCommandDelay}. */
+  /**
+   * Share of commands, and of their responses, delayed by {@link #minCommandDelay} and up to {@link
+   * #maxCommandDelay} more.
+   */
   double delayedCommandShare;
 
+  Duration minCommandDelay = Duration.ofMillis(2);
   Duration maxCommandDelay = Duration.ofSeconds(20);
 
   /**
@@ -137,6 +144,7 @@
     writesOverLimit = false;
     duplicatesToNextLeader = false;
     lostRentalShare = 0;
+    lateCloudCallShare = 0;
     listLag = Duration.ZERO;
     fullZones.clear();
     cloudOutage.clear();
--- a/src/test/java/io/tansystack/sim/SimFleet.java
+++ b/src/test/java/io/tansystack/sim/SimFleet.java
@@ -32,7 +32,8 @@
       return;
     }
     worker.restart(downTime);
-    loop.after(downTime, () -> report(worker));
+    int restarts = worker.restartCount();
+    loop.after(downTime, () -> report(worker, restarts));
   }
 
   void report(EmulatedWorker worker) {
--- a/src/test/java/io/tansystack/sim/SimNetwork.java
+++ b/src/test/java/io/tansystack/sim/SimNetwork.java
@@ -233,6 +233,9 @@
   /** Tasks that have completed on any machine. */
   final Set<String> completed = new HashSet<>();
 
+  /** Number of requests with commands, and of responses to them, that were delayed. */
+  int delayedCommands;
+
   int machineCounter;
   int maxMachines = 8;
 
@@ -372,6 +375,11 @@
         commitLate(decode(body));
         return;
       }
+      if (to.equals(CLOUD) && !method.equals("GET") && occurs(lateCloudCallShare)) {
+        Duration lateBy = Duration.ofMillis(5000 + random.nextInt(55_000));
+        loop.after(lateBy, () -> deliver(to, method, path, body, (status, answer) -> {}));
+        return;
+      }
       boolean unanswered =
           commits && occurs(lostResponseShare)
               || to.equals(CLOUD) && path.equals("/machines") && occurs(lostRentalShare);
@@ -467,10 +475,12 @@
   }
 
   private Duration delay(InetSocketAddress to) {
-    Duration maxDelay =
-        to.equals(STORE) ? maxStoreDelay
-            : to.getPort() >= 9000 && occurs(delayedCommandShare) ? maxCommandDelay : Duration.ZERO;
-    return maxDelay.isZero() ? Duration.ofMillis(2) : Duration.ofMillis(2 + random.nextInt((int) maxDelay.toMillis()));
+    if (to.getPort() >= 9000 && occurs(delayedCommandShare)) {
+      delayedCommands++;
+      return minCommandDelay.plusMillis(random.nextInt((int) maxCommandDelay.toMillis()));
+    }
+    boolean slow = to.equals(STORE) && !maxStoreDelay.isZero();
+    return Duration.ofMillis(2 + (slow ? random.nextInt((int) maxStoreDelay.toMillis()) : 0));
   }
 
   /** Holds back watch responses while the state service is down or refuses the controller. */
