--- a/src/test/java/io/tansystack/sim/RandomFaultRun.java
+++ b/src/test/java/io/tansystack/sim/RandomFaultRun.java
@@ -4,6 +4,8 @@
 import io.tansystack.emulator.EmulatedCloud.RequestKind;
 import io.tansystack.emulator.EmulatedWorker;
 import io.tansystack.settings.SettingsTest;
+import io.tansystack.sim.RandomFaults.Fault;
+import io.tansystack.sim.RandomFaults.FaultKind;
 import io.tansystack.sim.SimUsers.UserJob;
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.JobKind;
@@ -23,32 +25,6 @@
 final class RandomFaultRun extends SimCluster {
   private static final Duration RECOVERY_TIME = Duration.ofSeconds(280);
 
-  /** Kinds of faults and of unusual user behaviour; draws depend on the order of the constants. */
-  enum FaultKind {
-    OUTAGE, REFUSED_BY_STORE, SLOW_STORE, LATE_WRITES, CUT_OFF_FROM_STORE_AND_PEERS, ISOLATED, CUT_OFF_FROM_WORKERS,
-    PEERS_REFUSE_CONNECTIONS, PAUSED, CRASHED, REPEATED_RESTARTS, ALL_CRASHED, ALL_CRASHED_ONE_BACK, REPORTS_BLOCKED,
-    INBOUND_BLOCKED, HUNG, DUPLICATE_REPORTS, COMMANDS_DELAYED, EXCHANGE_FAULTS, DELETIONS_DELAYED, COMMANDS_BLOCKED,
-    // The following were added later and are only drawn with seeds above LAST_NARROW_SEED.
-    RESPONSES_LOST, DUPLICATES_TO_NEXT_LEADER, CANCEL_NOW, CANCEL_AT_END, UNUSUAL_REQUESTS, QUERIES_ON_CHANGE,
-    QUICK_BOOTS, JOB_STREAM, LEADER_CRASHES, ZONE_PARTITION, ROLLING_RESTART, WRITE_LIMIT,
-    // Only drawn with seeds above LAST_WIDE_SEED.
-    REQUESTS_REPEATED,
-    // Only drawn with seeds above LAST_REPEATED_SEED.
-    MACHINES_RESTARTED, CLOUD_OUTAGE, CLOUD_CALLS_LATE
-  }
-
-  /** Seeds above this draw from all fault kinds and jobs; the others keep their original draws. */
-  static final long LAST_NARROW_SEED = 100_000;
-
-  /** Seeds above this also draw {@link FaultKind#REQUESTS_REPEATED}, for a third of the faults. */
-  static final long LAST_WIDE_SEED = 200_000;
-
-  /** Seeds above this also draw machines that restart in place and an unavailable cloud interface. */
-  static final long LAST_REPEATED_SEED = 300_000;
-
-  /** A fault with start and duration in ms; {@code draw} selects its target and its strength. */
-  record Fault(FaultKind kind, int startMs, int durationMs, int draw) {}
-
   private final long seed;
   private final List<Fault> faults;
   private SimUsers users;
@@ -59,44 +35,6 @@
     this.faults = faults;
   }
 
-  /** Draws two to four faults that overlap, end together, or are milliseconds apart. */
-  static List<Fault> drawFaults(long seed) {
-    Random random = new Random(seed);
-    // Durations around limits in the settings: record TTL, lease, worker lease, cancellation.
-    int[] bounds = {300, 2500, 4500, 8000, 17_000, 18_000, 36_000, 43_000, 61_000};
-    List<Fault> faults = new ArrayList<>();
-    int at = 1000 + random.nextInt(4000);
-    int end = at;
-    for (int remaining = 2 + random.nextInt(3); remaining > 0; remaining--) {
-      int durationMs = Math.max(50, bounds[random.nextInt(bounds.length)] + random.nextInt(1600) - 800);
-      int startMs =
-          switch (random.nextInt(3)) {
-            case 0 -> at + random.nextInt(Math.max(1, end - at)); // While another fault lasts.
-            case 1 -> Math.max(0, end - durationMs); // Both end at the same time.
-            default -> end + random.nextInt(30) - 15; // Within 15 ms of the other's end.
-          };
-      faults.add(new Fault(drawKind(seed, random), Math.max(0, startMs), durationMs, random.nextInt(1000)));
-      end = Math.max(end, Math.max(0, startMs) + durationMs);
-    }
-    return faults;
-  }
-
-  private static FaultKind drawKind(long seed, Random random) {
-    if (seed > LAST_REPEATED_SEED && random.nextBoolean()) {
-      return switch (random.nextInt(4)) {
-        case 0 -> FaultKind.CLOUD_OUTAGE;
-        case 1 -> FaultKind.CLOUD_CALLS_LATE;
-        default -> FaultKind.MACHINES_RESTARTED;
-      };
-    }
-    if (seed > LAST_WIDE_SEED && random.nextInt(3) == 0) {
-      return FaultKind.REQUESTS_REPEATED;
-    }
-    FaultKind firstUndrawn =
-        seed > LAST_NARROW_SEED ? FaultKind.REQUESTS_REPEATED : FaultKind.RESPONSES_LOST;
-    return FaultKind.values()[random.nextInt(firstUndrawn.ordinal())];
-  }
-
   /** Runs the seed with the given faults and returns the violations. */
   static Set<String> simulate(long seed, List<Fault> faults) throws Exception {
     return new RandomFaultRun(seed, faults).simulate();
@@ -128,7 +66,7 @@
     maxMachines = 10 + random.nextInt(10);
     taskRunTime = Duration.ofSeconds(random.nextBoolean() ? 15 : 70);
     imageFetchTime = Duration.ofSeconds(random.nextInt(3) * 4L);
-    if (seed > LAST_NARROW_SEED) {
+    if (seed > RandomFaults.LAST_NARROW_SEED) {
       configureWide();
     }
     users = new SimUsers(this);
@@ -142,9 +80,9 @@
     loop.runFor(Duration.ofSeconds(16));
     int lastEndMs = 0;
     for (Fault fault : faults) {
-      loop.after(Duration.ofMillis(fault.startMs), () -> beginFault(fault));
-      loop.after(Duration.ofMillis(fault.startMs + fault.durationMs), () -> endFault(fault));
-      lastEndMs = Math.max(lastEndMs, fault.startMs + fault.durationMs);
+      loop.after(Duration.ofMillis(fault.startMs()), () -> beginFault(fault));
+      loop.after(Duration.ofMillis(fault.startMs() + fault.durationMs()), () -> endFault(fault));
+      lastEndMs = Math.max(lastEndMs, fault.startMs() + fault.durationMs());
     }
     // Users stay active until the last fault ends.
     for (int atMs = 0; atMs < lastEndMs; atMs += 500 + random.nextInt(4000)) {
@@ -163,9 +101,9 @@
         users.cancel(id, SimUsers.ANY);
       }
     });
-    loop.runFor(seed > LAST_NARROW_SEED ? RECOVERY_TIME.dividedBy(2) : RECOVERY_TIME);
+    loop.runFor(seed > RandomFaults.LAST_NARROW_SEED ? RECOVERY_TIME.dividedBy(2) : RECOVERY_TIME);
     // A team may have far more work than its limit; starvation of others is checked all the time.
-    for (int i = 0; seed > LAST_NARROW_SEED && i < 30
+    for (int i = 0; seed > RandomFaults.LAST_NARROW_SEED && i < 30
         && !users.jobs.values().stream().allMatch(UserJob::isFinished); i++) {
       loop.runFor(Duration.ofSeconds(30));
     }
@@ -214,7 +152,7 @@
   }
 
   private void submit() {
-    if (seed > LAST_NARROW_SEED) {
+    if (seed > RandomFaults.LAST_NARROW_SEED) {
       users.submit(wideSpec(), SimUsers.ANY);
       return;
     }
@@ -277,7 +215,7 @@
         users.submitInvalid(id, Cbor.encode(random.nextBoolean() ? body : body.without("Cargo")));
       }
     }
-    loop.after(Duration.ofMillis(150 + fault.draw), () -> submitUnusualRequests(fault, until));
+    loop.after(Duration.ofMillis(150 + fault.draw()), () -> submitUnusualRequests(fault, until));
   }
 
   /** Submits four one-task jobs per second and cancels a quarter of them within 9 s. */
@@ -300,33 +238,33 @@
 
   /** Returns the controller that the fault hits: for half of the draws the leader, if any. */
   private int victim(Fault fault) {
-    return fault.draw % 2 == 0 && store.value("ts/fleet") != null
+    return fault.draw() % 2 == 0 && store.value("ts/fleet") != null
         ? holder("ts/fleet")
-        : fault.draw % controllerCount;
+        : fault.draw() % controllerCount;
   }
 
   /** Restarts a machine in place one to three times while the fault lasts. */
   private void restartRepeatedly(EmulatedWorker worker, Fault fault) {
-    for (int i = 0; i < 1 + fault.draw % 3; i++) {
+    for (int i = 0; i < 1 + fault.draw() % 3; i++) {
       loop.after(
-          Duration.ofMillis(random.nextInt(fault.durationMs)),
+          Duration.ofMillis(random.nextInt(fault.durationMs())),
           () -> restartInPlace(worker, Duration.ofMillis(100 + random.nextInt(1901))));
     }
   }
 
   private List<EmulatedWorker> affectedWorkers(Fault fault) {
     List<EmulatedWorker> all = List.copyOf(workers.values());
-    return all.subList(0, all.size() * (1 + fault.draw % 3) / 3);
+    return all.subList(0, all.size() * (1 + fault.draw() % 3) / 3);
   }
 
   private void beginFault(Fault fault) {
     int victim = victim(fault);
-    Duration duration = Duration.ofMillis(fault.durationMs);
-    switch (fault.kind) {
+    Duration duration = Duration.ofMillis(fault.durationMs());
+    switch (fault.kind()) {
       case OUTAGE -> outage = true;
       case REFUSED_BY_STORE -> refusedByStore = victim;
-      case SLOW_STORE -> maxStoreDelay = Duration.ofMillis(200 + fault.draw * 2);
-      case LATE_WRITES -> lateWriteShare = 0.1 + fault.draw % 5 * 0.15;
+      case SLOW_STORE -> maxStoreDelay = Duration.ofMillis(200 + fault.draw() * 2);
+      case LATE_WRITES -> lateWriteShare = 0.1 + fault.draw() % 5 * 0.15;
       case CUT_OFF_FROM_STORE_AND_PEERS -> cutOffFromStoreAndPeers.add(victim);
       case ISOLATED -> isolated.add(victim);
       case CUT_OFF_FROM_WORKERS -> cutOffFromWorkers = victim;
@@ -337,65 +275,65 @@
         loop.after(duration, () -> bootIfDown(victim));
       }
       case REPEATED_RESTARTS -> {
-        for (int i = 0; i < 1 + fault.draw % 4; i++) {
+        for (int i = 0; i < 1 + fault.draw() % 4; i++) {
           loop.after(Duration.ofMillis(i * 1300L), () -> killIfRunning(victim));
-          loop.after(Duration.ofMillis(i * 1300L + 30 + fault.draw % 800), () -> bootIfDown(victim));
+          loop.after(Duration.ofMillis(i * 1300L + 30 + fault.draw() % 800), () -> bootIfDown(victim));
         }
       }
       case ALL_CRASHED, ALL_CRASHED_ONE_BACK -> {
         for (int i = 0; i < controllerCount; i++) {
           int index = i;
           boolean quickRestart =
-              fault.kind == FaultKind.ALL_CRASHED_ONE_BACK ? i == victim : fault.draw % 2 == 0;
+              fault.kind() == FaultKind.ALL_CRASHED_ONE_BACK ? i == victim : fault.draw() % 2 == 0;
           killIfRunning(i);
           loop.after(quickRestart ? Duration.ofMillis(100 + 40L * i) : duration.plusMillis(300L * i),
               () -> bootIfDown(index));
         }
       }
-      case RESPONSES_LOST -> lostResponseShare = 0.1 + fault.draw % 5 * 0.15;
+      case RESPONSES_LOST -> lostResponseShare = 0.1 + fault.draw() % 5 * 0.15;
       case DUPLICATES_TO_NEXT_LEADER -> {
         duplicateReportShare = 0.6;
         duplicatesToNextLeader = true;
       }
-      case CANCEL_NOW -> cancelNow(1 + fault.draw % 8, duration);
+      case CANCEL_NOW -> cancelNow(1 + fault.draw() % 8, duration);
       case CANCEL_AT_END -> users.cancelAtEndShare = 0.8;
       case UNUSUAL_REQUESTS -> submitUnusualRequests(fault, loop.now().plus(duration));
       case QUERIES_ON_CHANGE -> users.queryAllOnChange = true;
       case QUICK_BOOTS -> {
-        boot = Duration.ofMillis(200 + fault.draw % 1500);
-        listLag = Duration.ofSeconds(fault.draw % 12);
-        lostRentalShare = fault.draw % 2 * 0.5;
+        boot = Duration.ofMillis(200 + fault.draw() % 1500);
+        listLag = Duration.ofSeconds(fault.draw() % 12);
+        lostRentalShare = fault.draw() % 2 * 0.5;
       }
-      case JOB_STREAM -> submitStream(Math.min(fault.durationMs / 250, 160));
+      case JOB_STREAM -> submitStream(Math.min(fault.durationMs() / 250, 160));
       case LEADER_CRASHES -> {
         for (int i = 0; i < 10; i++) {
           loop.after(duration.multipliedBy(i).dividedBy(10), () -> {
             int leader = Math.max(0, leader());
             killIfRunning(leader);
-            bootAfter(leader, Duration.ofMillis(100 + fault.draw * 9L));
+            bootAfter(leader, Duration.ofMillis(100 + fault.draw() * 9L));
           });
         }
       }
-      case ZONE_PARTITION -> partitionedZone = fault.draw % 2 == 0 ? "a" : "b";
+      case ZONE_PARTITION -> partitionedZone = fault.draw() % 2 == 0 ? "a" : "b";
       case ROLLING_RESTART -> {
         for (int i = 0; i < controllerCount; i++) {
           int index = i;
-          loop.after(Duration.ofMillis(i * (1500L + fault.draw * 4L)), () -> {
+          loop.after(Duration.ofMillis(i * (1500L + fault.draw() * 4L)), () -> {
             killIfRunning(index);
-            bootAfter(index, Duration.ofMillis(200 + fault.draw * 3L));
+            bootAfter(index, Duration.ofMillis(200 + fault.draw() * 3L));
           });
         }
       }
-      case REQUESTS_REPEATED -> repeater.share = 0.2 + fault.draw % 5 * 0.2;
+      case REQUESTS_REPEATED -> repeater.share = 0.2 + fault.draw() % 5 * 0.2;
       case MACHINES_RESTARTED ->
           affectedWorkers(fault).forEach(worker -> restartRepeatedly(worker, fault));
       case CLOUD_OUTAGE -> {
         List<RequestKind> kinds = List.of(RequestKind.values());
         cloudOutage.addAll(
-            fault.draw % 5 == 4 ? kinds : List.of(kinds.get(fault.draw % kinds.size())));
+            fault.draw() % 5 == 4 ? kinds : List.of(kinds.get(fault.draw() % kinds.size())));
       }
-      case CLOUD_CALLS_LATE -> lateCloudCallShare = 0.3 + fault.draw % 3 * 0.3;
-      case WRITE_LIMIT -> store.limits(store.limits().withWrites(15 + fault.draw % 25));
+      case CLOUD_CALLS_LATE -> lateCloudCallShare = 0.3 + fault.draw() % 3 * 0.3;
+      case WRITE_LIMIT -> store.limits(store.limits().withWrites(15 + fault.draw() % 25));
       case REPORTS_BLOCKED -> affectedWorkers(fault).forEach(worker -> reportsBlocked.add(worker.name()));
       case INBOUND_BLOCKED -> affectedWorkers(fault).forEach(worker -> inboundBlocked.add(worker.name()));
       case HUNG -> affectedWorkers(fault).forEach(worker -> worker.hangUntil(loop.now().plus(duration)));
@@ -405,13 +343,13 @@
         maxCommandDelay = duration;
       }
       case EXCHANGE_FAULTS -> this.exchangeFaultShare = 0.05;
-      case DELETIONS_DELAYED -> deletionDelay = Duration.ofMillis(fault.draw * 8);
+      case DELETIONS_DELAYED -> deletionDelay = Duration.ofMillis(fault.draw() * 8);
       default -> affectedWorkers(fault).forEach(worker -> commandsBlocked.add(worker.name()));
     }
   }
 
   private void endFault(Fault fault) {
-    switch (fault.kind) {
+    switch (fault.kind()) {
       case RESPONSES_LOST -> lostResponseShare = 0;
       case REQUESTS_REPEATED -> repeater.share = 0;
       case DUPLICATES_TO_NEXT_LEADER -> duplicatesToNextLeader = false;
--- a/src/test/java/io/tansystack/sim/RandomFaultsTest.java
+++ b/src/test/java/io/tansystack/sim/RandomFaultsTest.java
@@ -2,7 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.tansystack.sim.RandomFaultRun.Fault;
+import io.tansystack.sim.RandomFaults.Fault;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -24,7 +24,7 @@
    * gang can't use them.
    */
   private static final long[] REGRESSION_SEEDS =
-      {721, 1074, RandomFaultRun.LAST_NARROW_SEED + 10, RandomFaultRun.LAST_NARROW_SEED + 55};
+      {721, 1074, RandomFaults.LAST_NARROW_SEED + 10, RandomFaults.LAST_NARROW_SEED + 55};
 
   /** 134 seeds, or those that the property {@code tansystack.pairs} gives as {@code FROM-TO}. */
   static LongStream seeds() {
@@ -32,13 +32,13 @@
     if (requested.isEmpty()) {
       LongStream wide =
           LongStream.rangeClosed(
-              RandomFaultRun.LAST_NARROW_SEED + 11, RandomFaultRun.LAST_NARROW_SEED + 50);
+              RandomFaults.LAST_NARROW_SEED + 11, RandomFaults.LAST_NARROW_SEED + 50);
       LongStream repeatedRequests =
           LongStream.rangeClosed(
-              RandomFaultRun.LAST_WIDE_SEED + 1, RandomFaultRun.LAST_WIDE_SEED + 20);
+              RandomFaults.LAST_WIDE_SEED + 1, RandomFaults.LAST_WIDE_SEED + 20);
       LongStream machineRestarts =
           LongStream.rangeClosed(
-              RandomFaultRun.LAST_REPEATED_SEED + 1, RandomFaultRun.LAST_REPEATED_SEED + 30);
+              RandomFaults.LAST_REPEATED_SEED + 1, RandomFaults.LAST_REPEATED_SEED + 30);
       LongStream narrow =
           LongStream.concat(LongStream.rangeClosed(1, 40), LongStream.of(REGRESSION_SEEDS));
       return Stream.of(narrow, wide, repeatedRequests, machineRestarts)
@@ -51,7 +51,7 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void noRuleIsViolated(long seed) throws Exception {
-    List<Fault> faults = RandomFaultRun.drawFaults(seed);
+    List<Fault> faults = RandomFaults.drawFaults(seed);
     Set<String> violations = RandomFaultRun.simulate(seed, faults);
     if (!violations.isEmpty()) {
       List<Fault> shortest = RandomFaultRun.minimize(seed, faults);
@@ -65,8 +65,8 @@
    */
   @Test
   void sameSeedGivesTheSameRun() throws Exception {
-    List<Fault> faults = RandomFaultRun.drawFaults(5);
-    assertEquals(faults, RandomFaultRun.drawFaults(5));
+    List<Fault> faults = RandomFaults.drawFaults(5);
+    assertEquals(faults, RandomFaults.drawFaults(5));
     assertEquals(
         RandomFaultRun.simulate(5, faults), RandomFaultRun.simulate(5, new ArrayList<>(faults)));
   }
