--- a/src/main/java/io/tansystack/cli/Controller.java
+++ b/src/main/java/io/tansystack/cli/Controller.java
@@ -260,7 +260,7 @@
     loop.after(SUMMARY_INTERVAL, this::logSummary);
     log.info(
         "summary jobs={} machines={} idle={} closed={} unmet={} owned={} valid={}"
-            + " plans={} stalls={} requests={} expired={} repeated={} {} count/p50/p99/max{}",
+            + " plans={} stalls={} requests={} expired={} {} {} count/p50/p99/max{}",
         clusterState.jobs().size(),
         clusterState.machines().size(),
         clusterState.machines().keySet().stream()
@@ -274,7 +274,7 @@
         stallDetector.stallCount(),
         userApi.openRequestCount(),
         userApi.expiredRequestCount(),
-        workerManager.repeatedStartCount(),
+        workerManager.counters(),
         lease.describe(),
         latencies.summaryAndReset());
   }
--- a/src/main/java/io/tansystack/workers/OwnedMachines.java
+++ b/src/main/java/io/tansystack/workers/OwnedMachines.java
@@ -46,6 +46,7 @@
   private final List<String> acquired = new ArrayList<>();
 
   private long startedByNobodyCount;
+  private long laterSessionCount;
 
   OwnedMachines(
       EventLoop loop,
@@ -98,14 +99,7 @@
       return;
     }
     if (machine.leaseStart.onSessionSeen(report.session(), loop.now()) && machine.latest != null) {
-      log.info(
-          "session machine={} session={} before={} seen in={} token={} copy={}",
-          machine.name,
-          report.session(),
-          machine.latest.session(),
-          source.text,
-          report.token(),
-          clusterState.revision());
+      logLaterSession(machine, report, source);
     }
     MachineRecord record = clusterState.machine(machine.name);
     long claimToken = record == null ? Long.MAX_VALUE : clusterState.token(record);
@@ -119,6 +113,18 @@
     machine.history.observe(report, loop.now(), this::spec);
   }
 
+  private void logLaterSession(OwnedMachine machine, Report report, ReportSource source) {
+    laterSessionCount++;
+    log.info(
+        "session machine={} session={} before={} seen in={} token={} copy={}",
+        machine.name,
+        report.session(),
+        machine.latest.session(),
+        source.text,
+        report.token(),
+        clusterState.revision());
+  }
+
   private void logStartedByNobody(OwnedMachine machine, Report report, List<TaskAttempt> attempts) {
     startedByNobodyCount += attempts.size();
     for (TaskAttempt attempt : attempts.subList(0, Math.min(MAX_LOGGED, attempts.size()))) {
@@ -133,9 +139,15 @@
     }
   }
 
-  /** How many attempts were reported that nobody had started under the token then in force. */
-  long startedByNobodyCount() {
-    return startedByNobodyCount;
+  /**
+   * How many attempts were reported that nobody had started under the token then in force, how many
+   * later sessions of machines were seen, and how many machines are in a session of which no report
+   * was answered.
+   */
+  String counters() {
+    long unanswered = machines.values().stream().filter(OwnedMachine::sessionUnanswered).count();
+    return "repeated=" + startedByNobodyCount + " sessions=" + laterSessionCount + " unanswered="
+        + unanswered;
   }
 
   private JobSpec spec(String job) {
--- a/src/main/java/io/tansystack/workers/TerminationProofs.java
+++ b/src/main/java/io/tansystack/workers/TerminationProofs.java
@@ -62,15 +62,22 @@
   /**
    * Why tasks of a placement have ended.
    *
+   * @param placedSession the session in which the tasks were placed
    * @param session the session that the machine reported; 0 if no view of it is known
    * @param token the token under which its owner published that; 0 if no view of it is known
    */
   public record Evidence(
-      ProofKind kind, String machine, long attempt, TaskSet tasks, long session, long token) {
+      ProofKind kind,
+      String machine,
+      long attempt,
+      TaskSet tasks,
+      long placedSession,
+      long session,
+      long token) {
     @Override
     public String toString() {
-      return machine + "#" + attempt + "=" + tasks + " " + kind.text + " session=" + session
-          + " token=" + token;
+      return machine + "#" + attempt + "=" + tasks + " placed in=" + placedSession + " "
+          + kind.text + " session=" + session + " token=" + token;
     }
   }
 
@@ -174,7 +181,8 @@
       if (!tasks.isEmpty()) {
         long session = view == null ? 0 : view.report().session();
         long token = view == null ? 0 : view.token();
-        evidence.add(new Evidence(kind, p.machine(), p.attempt(), tasks, session, token));
+        evidence.add(
+            new Evidence(kind, p.machine(), p.attempt(), tasks, p.session(), session, token));
       }
     }
   }
--- a/src/main/java/io/tansystack/workers/WorkerManager.java
+++ b/src/main/java/io/tansystack/workers/WorkerManager.java
@@ -380,9 +380,9 @@
     return machines.publishedViews();
   }
 
-  /** How many attempts were reported that only a repeated start command can have started. */
-  public long repeatedStartCount() {
-    return machines.startedByNobodyCount();
+  /** Counters of what this controller's machines have reported, for the summary line. */
+  public String counters() {
+    return machines.counters();
   }
 
   public Collection<String> ownedMachines() {
