A submission is measured in its JSON form, and an announced body takes no space before it arrives

The limit of 64 KiB is one of the JSON form, but the front address refused 64 KiB of encoded bytes: a sound submission with a list of digits in eight-byte integers was answered 400. Bodies are now read up to the longest encoding of that limit (9 bytes for two characters), and a submission that is longer in its JSON form gets 400, or its state if the job is known. And a body's buffer had the announced length from the start: requests that announce 64 KiB and send three bytes took 64 KiB each of a controller's 96 MB; now 8 KiB at the most until bytes arrive.

announcedBodiesTakeNoSpaceBeforeTheyArrive failed before (with 256 KiB as the limit). Not shown to end a controller: with its limit on connections, 64 KiB each stay below the heap.

--- a/src/main/java/io/tansystack/cli/ControllerProcess.java
+++ b/src/main/java/io/tansystack/cli/ControllerProcess.java
@@ -7,6 +7,7 @@
 import io.tansystack.peers.PeerLink;
 import io.tansystack.settings.OperatorSettings;
 import io.tansystack.settings.PlatformSettings;
+import io.tansystack.wire.Cbor;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.security.SecureRandom;
@@ -65,6 +66,7 @@
             buffers,
             settings.front(),
             controller::handleFront,
+            Cbor.MAX_BODY_BYTES,
             settings.peerBind(),
             controller::handlePeer,
             PeerLink.MAX_BODY,
--- a/src/main/java/io/tansystack/http/BodyReader.java
+++ b/src/main/java/io/tansystack/http/BodyReader.java
@@ -1,5 +1,6 @@
 package io.tansystack.http;
 
+import com.google.common.primitives.Ints;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.Connectors;
 import io.undertow.server.HttpServerExchange;
@@ -18,6 +19,11 @@
 final class BodyReader {
   private static final byte[] EMPTY = new byte[0];
 
+  private static final int MIN_INITIAL_BYTES = 32;
+
+  /** Space that is taken for a body before its bytes arrive, whatever length was announced. */
+  private static final int MAX_INITIAL_BYTES = 8 * 1024;
+
   private BodyReader() {}
 
   /** Appends the remaining bytes of the buffer to the body and consumes them. */
@@ -50,7 +56,9 @@
       return;
     }
     ByteArrayOutputStream body =
-        new ByteArrayOutputStream((int) Math.max(32, exchange.getRequestContentLength()));
+        new ByteArrayOutputStream(
+            Ints.constrainToRange(
+                (int) exchange.getRequestContentLength(), MIN_INITIAL_BYTES, MAX_INITIAL_BYTES));
     try {
       if (readAvailable(exchange, channel, body)) {
         onBody.accept(body.toByteArray());
--- a/src/main/java/io/tansystack/http/HttpServer.java
+++ b/src/main/java/io/tansystack/http/HttpServer.java
@@ -15,9 +15,6 @@
  * states.
  */
 public final class HttpServer {
-  /** Limit of request bodies on the front address; longer ones are rejected unread. */
-  public static final int MAX_BODY_BYTES = 64 * 1024;
-
   /** Handles requests on the event loop. */
   public interface Service {
     /** Handles one request; the reply may be sent later, but only from the event loop. */
@@ -36,12 +33,16 @@
 
   private final Undertow undertow;
 
-  /** @param peerMaxBodyBytes limit of request bodies on the peer address */
+  /**
+   * @param frontMaxBodyBytes longer request bodies on the front address are rejected unread
+   * @param peerMaxBodyBytes likewise, on the peer address
+   */
   public HttpServer(
       XnioWorker worker,
       ByteBufferPool buffers,
       InetSocketAddress frontAddress,
       Service frontService,
+      int frontMaxBodyBytes,
       InetSocketAddress peerAddress,
       Service peerService,
       int peerMaxBodyBytes,
@@ -63,7 +64,7 @@
             .setSocketOption(Options.BACKLOG, 256)
             .addListener(
                 listener(
-                    frontAddress, new ServiceHandler(frontService, MAX_BODY_BYTES, timeouts)))
+                    frontAddress, new ServiceHandler(frontService, frontMaxBodyBytes, timeouts)))
             .addListener(
                 listener(
                     peerAddress, new ServiceHandler(peerService, peerMaxBodyBytes, timeouts)))
--- a/src/main/java/io/tansystack/jobs/SubmissionHandler.java
+++ b/src/main/java/io/tansystack/jobs/SubmissionHandler.java
@@ -77,6 +77,10 @@
       reply.send(200, Responses.jobStatus(id, clusterState.finalPhase(id).status()));
       return;
     }
+    if (Cbor.isTooLong(map, body.length)) {
+      answerIfKnown(id, 400, "body: longer than 64 KiB", reply);
+      return;
+    }
     JobSpec spec;
     try {
       spec = JobSpec.read(map);
--- a/src/main/java/io/tansystack/wire/Cbor.java
+++ b/src/main/java/io/tansystack/wire/Cbor.java
@@ -10,6 +10,15 @@
 
 /** The body format of all published APIs: CBOR maps with text keys. */
 public final class Cbor {
+  /** The longest body of a request, in characters of its JSON form. */
+  public static final int MAX_BODY_CHARS = 64 * 1024;
+
+  /**
+   * The longest encoding, in bytes, of a request body within that limit: a list of digits takes two
+   * characters of JSON for each, and up to nine bytes.
+   */
+  public static final int MAX_BODY_BYTES = MAX_BODY_CHARS / 2 * 9;
+
   private static final CBORMapper MAPPER = new CBORMapper();
 
   private Cbor() {}
@@ -41,6 +50,12 @@
     throw new InvalidMessageException("body: not a map");
   }
 
+  /** Whether a request body that was decoded from this many bytes is longer than allowed. */
+  public static boolean isTooLong(ObjectNode body, int encodedBytes) {
+    // Only unusual encodings are longer than the JSON form.
+    return encodedBytes > MAX_BODY_CHARS && jsonSize(body) > MAX_BODY_CHARS;
+  }
+
   /** A streaming parser, for callers that read only a part of a body or don't need a tree. */
   static JsonParser parser(byte[] body) throws IOException {
     return MAPPER.getFactory().createParser(body);
--- a/src/test/java/io/tansystack/http/HttpServerTest.java
+++ b/src/test/java/io/tansystack/http/HttpServerTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -30,6 +31,7 @@
   private static final String OPENED_BODY =
       "POST /v1/report HTTP/1.1\r\nHost: c\r\nContent-Length: 100\r\n\r\nabc";
   private static final int RESPONSE_BYTES = 32 << 20;
+  private static final int MAX_BODY_BYTES = 256 * 1024;
 
   private static final ServerTimeouts TIMEOUTS =
       new ServerTimeouts(
@@ -53,6 +55,7 @@
             address,
             (method, path, body, reply) ->
                 reply.send(200, new byte[path.equals("/large") ? RESPONSE_BYTES : 0]),
+            MAX_BODY_BYTES,
             LoopbackWorker.freeAddress(),
             (method, path, body, reply) -> reply.send(200, new byte[0]),
             1024,
@@ -156,6 +159,42 @@
     assertServed();
   }
 
+  /** A controller has 96 MB; the bytes that were announced may never come. */
+  @Test
+  void announcedBodiesTakeNoSpaceBeforeTheyArrive() throws Exception {
+    List<Socket> sockets = new ArrayList<>();
+    long before = usedBytes();
+    for (int i = 0; i < 300; i++) {
+      sockets.add(
+          connect("POST / HTTP/1.1\r\nHost: c\r\nContent-Length: " + MAX_BODY_BYTES + "\r\n\r\nabc"));
+    }
+    assertServed();
+    long taken = usedBytes() - before;
+    assertTrue(taken < sockets.size() * (MAX_BODY_BYTES / 4L), taken + " bytes");
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+  }
+
+  private static long usedBytes() {
+    System.gc();
+    return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+  }
+
+  @ParameterizedTest
+  @CsvSource({"0, 200", "-1, 200", "1, 400"})
+  void bodyIsReadUpToTheLimit(int beyondLimit, int status) throws Exception {
+    int length = MAX_BODY_BYTES + beyondLimit;
+    try (Socket socket = connect("POST / HTTP/1.1\r\nHost: c\r\nContent-Length: " + length + "\r\n\r\n")) {
+      if (status == 200) {
+        socket.getOutputStream().write(new byte[length]);
+      }
+      socket.setSoTimeout((int) ALLOWANCE.toMillis());
+      byte[] answer = socket.getInputStream().readNBytes(12);
+      assertEquals("HTTP/1.1 " + status, new String(answer, StandardCharsets.US_ASCII));
+    }
+  }
+
   /** The request comes byte by byte, more slowly than the time allowed for a whole one. */
   @ParameterizedTest
   @ValueSource(strings = {REQUEST, OPENED_BODY})
--- a/src/test/java/io/tansystack/sim/EquivalentSubmissionsTest.java
+++ b/src/test/java/io/tansystack/sim/EquivalentSubmissionsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.tansystack.wire.Cbor;
 import io.tansystack.wire.CborSpelling;
@@ -15,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -102,6 +104,20 @@
         "wk-000001", List.of(spelling.encode(job), Cbor.encode(job), spelling.encode(job)));
   }
 
+  /** The limit of 64 KiB is one of the JSON form. */
+  @ParameterizedTest
+  @CsvSource({"30000, 201", "33000, 400"})
+  void submissionIsMeasuredInItsJsonForm(int numbers, int status) {
+    ObjectNode job = job("wk-000001");
+    ArrayNode list = job.putArray("Numbers");
+    for (int i = 0; i < numbers; i++) {
+      list.add(1);
+    }
+    byte[] body = CborSpelling.LONG_INTEGERS.encode(job);
+    assertTrue(body.length > Cbor.MAX_BODY_CHARS && body.length <= Cbor.MAX_BODY_BYTES + 9 * 300);
+    assertEquals(List.of(status), submitToAllAtOnce(List.of(body)));
+  }
+
   @Test
   void allSpellingsTogetherAreOneJob() {
     List<byte[]> bodies = new ArrayList<>();
