--- a/src/main/java/io/tansystack/emulator/EmulatedTasks.java
+++ b/src/main/java/io/tansystack/emulator/EmulatedTasks.java
@@ -184,7 +184,8 @@
         delay,
         () -> {
           TaskReport task = tasks.get(key);
-          if (!worker.isDead() && worker.session() == inSession && task != null && task.state() == state) {
+          boolean sameSession = !worker.isDead() && worker.session() == inSession;
+          if (sameSession && task != null && task.state() == state) {
             action.run();
           }
         });
--- a/src/main/java/io/tansystack/emulator/ReportSender.java
+++ b/src/main/java/io/tansystack/emulator/ReportSender.java
@@ -75,7 +75,7 @@
     schedule(delay);
   }
 
-  /** The machine restarts: it receives no response to earlier reports, and reports when it is back. */
+  /** The machine restarts: it gets no response to earlier reports, and reports when it is back. */
   void onRestart(Duration downTime) {
     restarts++;
     inFlight = false;
--- a/src/main/java/io/tansystack/workers/HeartbeatMonitor.java
+++ b/src/main/java/io/tansystack/workers/HeartbeatMonitor.java
@@ -54,7 +54,8 @@
     for (OwnedMachine machine : machines) {
       if (!machine.responsesLost()) {
         total++;
-        silentCount += MachineViewPublisher.isSilent(timeSince(machine.leaseStart.answeredAt(), now)) ? 1 : 0;
+        Duration silence = timeSince(machine.leaseStart.answeredAt(), now);
+        silentCount += MachineViewPublisher.isSilent(silence) ? 1 : 0;
       }
     }
     isolatedFromWorkers = silentCount > 2 && silentCount > total * WorkerManager.MASS_SILENCE_SHARE;
--- a/src/main/java/io/tansystack/workers/WorkerLeaseStart.java
+++ b/src/main/java/io/tansystack/workers/WorkerLeaseStart.java
@@ -5,11 +5,11 @@
 /**
  * The latest moment from which a worker's lease can count, as far as its owner can't exclude it.
  *
- * <p>A start command names its session, so tasks can be on a machine only in a session that an owner
- * has heard of. The lease of a session counts from its beginning, or from the sending of its last
- * answered report. Either was before one of three moments: this owner received the last report that
- * it answered; this owner first heard of the newest session, by whatever message; a former owner
- * could last answer reports, or send commands in a session that this owner hasn't heard of.
+ * <p>A start command names its session, so tasks can be on a machine only in a session that an
+ * owner has heard of. The lease of a session counts from its beginning, or from the sending of its
+ * last answered report. Either was before one of three moments: this owner received the last report
+ * that it answered; this owner first heard of the newest session, by whatever message; a former
+ * owner could last answer reports, or send commands in a session that this owner hasn't heard of.
  */
 final class WorkerLeaseStart {
   /** What the lease can have counted from. */
