--- a/src/main/java/io/tansystack/workers/MachineView.java
+++ b/src/main/java/io/tansystack/workers/MachineView.java
@@ -48,8 +48,8 @@
    * @param fetchGbPerS measured average, 0 if unknown
    * @param slowness measured run time divided by the predicted one, averaged; 0 if unknown
    * @param silentMs how long the machine has been silent
-   * @param unfitForTasks whether responses of its owner don't seem to reach it, or its owner has answered
-   *     no report of its newest session
+   * @param unfitForTasks whether its owner's responses don't seem to reach it, or no report of its
+   *     newest session has been answered
    */
   public MachineView(
       Report report,
