Tests of HTTP use an IP address of their own for each server

LoopbackWorker.freeAddress took a port that the system gave it, closed the socket, and the server bound the port a moment later; in between a client socket on 127.0.0.1, of another test or process, may get the same port, or the second call for the peer address. Which socket it was is not known. Each address is now a loopback address of its own, which client sockets don't use. The checks are unchanged.

--- a/src/test/java/io/tansystack/http/LoopbackWorker.java
+++ b/src/test/java/io/tansystack/http/LoopbackWorker.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -13,6 +14,8 @@
 
 /** An XNIO worker with one I/O thread, and free addresses on the loopback interface. */
 final class LoopbackWorker implements AutoCloseable {
+  private static final AtomicInteger ADDRESS_COUNT = new AtomicInteger();
+
   final XnioWorker worker;
   final ByteBufferPool buffers = new DefaultByteBufferPool(false, 8192, 64, 0);
   final XnioEventLoop loop;
@@ -29,9 +32,12 @@
     loop = new XnioEventLoop(worker.getIoThread());
   }
 
+  /** Returns an address with an IP address of its own: no client socket can take its port. */
   static InetSocketAddress freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+    int number = ADDRESS_COUNT.getAndIncrement();
+    byte[] ip = {127, 30, (byte) (number / 250), (byte) (1 + number % 250)};
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByAddress(ip))) {
+      return new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort());
     }
   }
 
--- a/src/test/java/io/tansystack/http/ServiceHandlerTest.java
+++ b/src/test/java/io/tansystack/http/ServiceHandlerTest.java
@@ -25,7 +25,10 @@
       server.listen(address, service);
       HttpURLConnection connection =
           (HttpURLConnection)
-              URI.create("http://127.0.0.1:" + address.getPort() + "/up").toURL().openConnection();
+              URI.create(
+                      "http://" + address.getAddress().getHostAddress() + ":" + address.getPort() + "/up")
+                  .toURL()
+                  .openConnection();
       connection.setReadTimeout(CLIENT_TIMEOUT_MS);
       return connection.getResponseCode();
     }
