--- a/src/test/java/io/tansystack/sim/CancellationDuringOutageTest.java
+++ b/src/test/java/io/tansystack/sim/CancellationDuringOutageTest.java
@@ -94,7 +94,7 @@
   private void assertCancelledWorkGoneInTime(String context) {
     assertEquals(Set.of(), users.checker().violations, context);
     assertTrue(
-        users.checker().longestRunAfterCancel.compareTo(Duration.ofMillis((long) (setting("cancel_s") * 1000))) <= 0,
+        users.checker().longestRunAfterCancel.compareTo(seconds("cancel_s")) <= 0,
         context + ": " + users.checker().longestRunAfterCancel);
     assertTrue(
         users.jobs.values().stream().filter(job -> job.cancelled != null).count() >= 8,
--- a/src/test/java/io/tansystack/sim/HeldUpStartCommandTest.java
+++ b/src/test/java/io/tansystack/sim/HeldUpStartCommandTest.java
@@ -17,7 +17,6 @@
 class HeldUpStartCommandTest extends FaultScenario {
   private static final int CONTROLLERS = 3;
   private static final int MACHINES = 4;
-  private static final Duration CANCEL_LIMIT = Duration.ofSeconds(61);
 
   /** What happens while the start commands are on their way. */
   private enum Meanwhile {
@@ -25,8 +24,7 @@
   }
 
   static Stream<Arguments> eventsAndSeeds() {
-    return Stream.of(Meanwhile.values())
-        .flatMap(event -> seeds().mapToObj(seed -> Arguments.of(event, seed)));
+    return withSeeds(Meanwhile.values());
   }
 
   @ParameterizedTest
@@ -37,7 +35,7 @@
     taskRunTime = Duration.ofSeconds(100);
     startWithJobs(CONTROLLERS, MACHINES, 4, 1);
     delayedCommandShare = 1;
-    minCommandDelay = CANCEL_LIMIT.plusSeconds(5);
+    minCommandDelay = seconds("cancel_s").plusSeconds(5);
     int firstHeldUp = jobCount;
     submitJobs(6, 1);
     loop.runFor(Duration.ofSeconds(4));
@@ -53,7 +51,7 @@
     loop.runFor(Duration.ofSeconds(60));
     List<LateStart> afterLimit =
         users().checker().lateStarts.stream()
-            .filter(start -> start.after().compareTo(CANCEL_LIMIT) > 0)
+            .filter(start -> start.after().compareTo(seconds("cancel_s")) > 0)
             .toList();
     assertEquals(List.of(), afterLimit, event + " seed " + seed);
     assertRecovered(event + " seed " + seed);
--- a/src/test/java/io/tansystack/sim/HistoryChecker.java
+++ b/src/test/java/io/tansystack/sim/HistoryChecker.java
@@ -66,7 +66,7 @@
   HistoryChecker(SimCluster cluster, SimUsers users) {
     this.cluster = cluster;
     this.users = users;
-    this.cancelTimeout = Duration.ofMillis((long) (cluster.setting("cancel_s") * 1000));
+    this.cancelTimeout = cluster.seconds("cancel_s");
     this.limits = limits(cluster.settings);
     this.fairness = new FairnessChecker(cluster, users, limits);
     cluster.onChange.add(this::checkMachines);
--- a/src/test/java/io/tansystack/sim/LateCloudCallsTest.java
+++ b/src/test/java/io/tansystack/sim/LateCloudCallsTest.java
@@ -33,8 +33,7 @@
   private final Set<String> unknownAttempts = new HashSet<>();
 
   static Stream<Arguments> troublesAndSeeds() {
-    return Stream.of(Trouble.values())
-        .flatMap(trouble -> seeds().mapToObj(seed -> Arguments.of(trouble, seed)));
+    return withSeeds(Trouble.values());
   }
 
   @ParameterizedTest
--- a/src/test/java/io/tansystack/sim/MalformedRequestsTest.java
+++ b/src/test/java/io/tansystack/sim/MalformedRequestsTest.java
@@ -9,9 +9,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -21,7 +19,6 @@
 class MalformedRequestsTest extends SimCluster {
   private static final int CONTROLLERS = 3;
   private static final int MUTATIONS = 400;
-  private static final int BODY_LIMIT = 64 * 1024;
 
   @BeforeEach
   void bootControllers() throws Exception {
@@ -34,31 +31,28 @@
   }
 
   /** Bodies that claim to be longer, deeper or larger than they are. */
-  private static Map<String, byte[]> extremeBodies() {
-    Map<String, byte[]> bodies = new LinkedHashMap<>();
-    bodies.put("empty", new byte[0]);
-    bodies.put("lists in lists", filled(0x81));
-    bodies.put("open lists in lists", filled(0x9f));
-    bodies.put("open maps in maps", filled(0xbf));
-    bodies.put("tags of tags", filled(0xc1));
-    bodies.put("zeros", filled(0));
+  private static List<byte[]> extremeBodies() {
+    List<byte[]> bodies = new ArrayList<>();
+    bodies.add(new byte[0]);
+    for (int listMapOrTag : new int[] {0x81, 0x9f, 0xbf, 0xc1, 0}) {
+      bodies.add(filled(listMapOrTag));
+    }
+    byte[] field = Arrays.copyOf(Cbor.encode(Cbor.map().put("Uid", "x")), 5);
     for (int majorType : new int[] {0x5b, 0x7b, 0x9b, 0xbb}) {
       for (int top : new int[] {0x00, 0x7f, 0xff}) {
         byte[] length = {
           (byte) majorType, (byte) top, 0, 0, 0, 0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xff, 'x'
         };
-        String name = Integer.toHexString(majorType) + " of length " + Integer.toHexString(top);
-        bodies.put(name, length);
-        bodies.put("a map whose key is " + name, prefixed(new byte[] {(byte) 0xa1}, length));
-        byte[] field = Arrays.copyOf(Cbor.encode(Cbor.map().put("Uid", "x")), 5);
-        bodies.put("a map whose value is " + name, prefixed(field, length));
+        bodies.add(length);
+        bodies.add(prefixed(new byte[] {(byte) 0xa1}, length)); // The key of a map.
+        bodies.add(prefixed(field, length)); // The value of a field.
       }
     }
     return bodies;
   }
 
   private static byte[] filled(int value) {
-    byte[] body = new byte[BODY_LIMIT];
+    byte[] body = new byte[Cbor.MAX_BODY_CHARS];
     Arrays.fill(body, (byte) value);
     return body;
   }
@@ -103,7 +97,7 @@
   })
   void malformedRequestIsAnsweredAndControllersGoOn(String method, String path) {
     submit("wk-000001", 1);
-    List<byte[]> bodies = new ArrayList<>(extremeBodies().values());
+    List<byte[]> bodies = extremeBodies();
     byte[] sound = soundBody(path);
     for (int i = 0; i < MUTATIONS; i++) {
       bodies.add(mutated(sound));
--- a/src/test/java/io/tansystack/sim/RepeatedRequestsTest.java
+++ b/src/test/java/io/tansystack/sim/RepeatedRequestsTest.java
@@ -52,8 +52,7 @@
 
   /** Each delay with seeds 1 to 8, or those that the property {@code tansystack.seeds} names. */
   static Stream<Arguments> delaysAndSeeds() {
-    return Stream.of(Delay.values())
-        .flatMap(delay -> seeds().mapToObj(seed -> Arguments.of(delay, seed)));
+    return withSeeds(Delay.values());
   }
 
   @ParameterizedTest
--- a/src/test/java/io/tansystack/sim/RestartInPlaceTest.java
+++ b/src/test/java/io/tansystack/sim/RestartInPlaceTest.java
@@ -44,8 +44,7 @@
 
   /** Each fate of the owner with seeds 1 to 8, or those that {@code tansystack.seeds} names. */
   static Stream<Arguments> ownersAndSeeds() {
-    return Stream.of(Owner.values())
-        .flatMap(owner -> seeds().mapToObj(seed -> Arguments.of(owner, seed)));
+    return withSeeds(Owner.values());
   }
 
   /** The incident: reports reach no controller, the cloud is down, and commands still arrive. */
@@ -53,9 +52,7 @@
   @MethodSource("ownersAndSeeds")
   void taskOfUnheardSessionIsNotStartedElsewhereBeforeThatSessionsLeaseEnds(Owner owner, long seed)
       throws Exception {
-    random = new Random(seed);
-    taskRunTime = TASK_RUN_TIME;
-    startWithJobs(CONTROLLERS, MACHINES, JOBS, 1);
+    startWithLongTasks(seed);
     EmulatedWorker machine = busyMachine();
     cloudOutage.addAll(EnumSet.allOf(RequestKind.class));
     reportsBlocked.add(machine.name());
@@ -75,9 +72,7 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void unheardSessionGetsNoTasksThatItsLeaseWouldEnd(long seed) throws Exception {
-    random = new Random(seed);
-    taskRunTime = TASK_RUN_TIME;
-    startWithJobs(CONTROLLERS, MACHINES, JOBS, 1);
+    startWithLongTasks(seed);
     EmulatedWorker machine = busyMachine();
     cloudOutage.add(RequestKind.DELETE);
     reportsBlocked.add(machine.name());
@@ -95,9 +90,7 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void recordOfALostMachineIsRemovedOnceItsLeaseIsOver(long seed) throws Exception {
-    random = new Random(seed);
-    taskRunTime = TASK_RUN_TIME;
-    startWithJobs(CONTROLLERS, MACHINES, JOBS, 1);
+    startWithLongTasks(seed);
     loop.runFor(randomMs(0, 3000));
     EmulatedWorker machine = busyMachine();
     cloudOutage.addAll(EnumSet.allOf(RequestKind.class));
@@ -161,6 +154,12 @@
     loop.after(time, () -> affected.remove(machine.name()));
   }
 
+  private void startWithLongTasks(long seed) throws Exception {
+    random = new Random(seed);
+    taskRunTime = TASK_RUN_TIME;
+    startWithJobs(CONTROLLERS, MACHINES, JOBS, 1);
+  }
+
   private EmulatedWorker busyMachine() {
     List<EmulatedWorker> busy =
         machines().stream().filter(worker -> !worker.liveTasks().isEmpty()).toList();
--- a/src/test/java/io/tansystack/sim/SimCluster.java
+++ b/src/test/java/io/tansystack/sim/SimCluster.java
@@ -15,6 +15,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.provider.Arguments;
 
 /** A simulated cluster with requests of users and the rules that must hold at every moment. */
 abstract class SimCluster extends SimFleet {
@@ -27,6 +29,12 @@
     return LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[1]));
   }
 
+  /** Returns each of the values with each seed that a test runs. */
+  static Stream<Arguments> withSeeds(Object[] values) {
+    return Stream.of(values)
+        .flatMap(value -> seeds().mapToObj(seed -> Arguments.of(value, seed)));
+  }
+
   /**
    * Checks that no task is on two machines and no team is over its limit; called at every moment at
    * which a task may start.
--- a/src/test/java/io/tansystack/sim/SimFleet.java
+++ b/src/test/java/io/tansystack/sim/SimFleet.java
@@ -19,7 +19,7 @@
     EmulatedWorker worker =
         new EmulatedWorker(
             this, gangs, name, "127.0.0.1:" + (9000 + machineCounter), machineType(type), zone, spot,
-            Duration.ofMillis((long) (setting("lease_s") * 1000)));
+            seconds("lease_s"));
     machineCounter++;
     workers.put(name, worker);
     loop.after(boot, () -> report(worker));
--- a/src/test/java/io/tansystack/sim/SimNetwork.java
+++ b/src/test/java/io/tansystack/sim/SimNetwork.java
@@ -176,7 +176,8 @@
     return seconds("gang_peer_s");
   }
 
-  private Duration seconds(String setting) {
+  /** Returns the duration that a numeric setting gives in seconds. */
+  Duration seconds(String setting) {
     return Duration.ofMillis((long) (setting(setting) * 1000));
   }
 
