The test of held-up start commands keeps its machines busy

Each machine now has a long task and room for one more, and the command arrives at a machine that is still in use under the token of the start.

The assertions are unchanged, one is added (every machine is busy).

--- a/src/test/java/io/tansystack/sim/HeldUpStartCommandTest.java
+++ b/src/test/java/io/tansystack/sim/HeldUpStartCommandTest.java
@@ -5,6 +5,8 @@
 
 import io.tansystack.emulator.EmulatedWorker;
 import io.tansystack.sim.HistoryChecker.LateStart;
+import io.tansystack.wire.JobKind;
+import io.tansystack.wire.Priority;
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
@@ -32,12 +34,17 @@
   void startCommandHeldUpBeyondTheTimeForCancellingStartsNothing(Meanwhile event, long seed)
       throws Exception {
     random = new Random(seed);
-    taskRunTime = Duration.ofSeconds(100);
-    startWithJobs(CONTROLLERS, MACHINES, 4, 1);
+    taskRunTime = Duration.ofSeconds(200);
+    start(CONTROLLERS, MACHINES);
+    for (int i = 0; i < MACHINES; i++) {
+      submit("vision", JobKind.ARRAY, Priority.NORMAL, 1, 3, 0, null, false, false);
+    }
+    loop.runFor(Duration.ofSeconds(14)); // Each machine is busy, and has room for one task.
+    assertTrue(machines().stream().noneMatch(machine -> machine.liveTasks().isEmpty()), "busy");
     delayedCommandShare = 1;
     minCommandDelay = seconds("cancel_s").plusSeconds(5);
     int firstHeldUp = jobCount;
-    submitJobs(6, 1);
+    submitJobs(MACHINES, 1);
     loop.runFor(Duration.ofSeconds(4));
     delayedCommandShare = 0;
     assertTrue(delayedCommands > 0, "commands are on their way");
