Review: a running job is stopped for a gang that can't start (case 8)

Preemption frees a machine for a part of a gang, reserves it in every pass and never starts the gang. The stopped job waits for more than 90 s beside the empty machine.

--- a/review/standins-2/Waits.java
+++ b/review/standins-2/Waits.java
@@ -6,7 +6,7 @@
 
 /** What the cases share that watch whether a job is left waiting. */
 final class Waits {
-  private static final double MAX_WAIT_S = 90;
+  static final double MAX_WAIT_S = 90;
 
   private Waits() {}
 
@@ -59,6 +59,12 @@
         && w.hasCapacityFor(spec);
   }
 
+  /** Whether any machine has room for one more task of the job. */
+  static boolean room(Rig rig, JobSpec spec) throws Exception {
+    return rig.fleetLoop.call(
+        () -> rig.fleet.workers.values().stream().anyMatch(w -> hasRoom(w, spec)));
+  }
+
   /** What the machines say: tasks of each, and whether one more task of the job fits there. */
   static String state(Rig rig, String job) throws Exception {
     JobSpec spec = rig.fleet.jobSpec(job);
@@ -83,9 +89,7 @@
         rig.log("%s has a task on a machine: the rule held", job);
         return 0;
       }
-      boolean room =
-          rig.fleetLoop.call(
-              () -> rig.fleet.workers.values().stream().anyMatch(w -> hasRoom(w, spec)));
+      boolean room = room(rig, spec);
       roomSince = room ? roomSince : rig.ms();
       if (rig.ms() > nextLog) {
         Rig.Answer a = rig.poll(0, job);
