--- a/review/standins-2/NeverUp.java
+++ b/review/standins-2/NeverUp.java
@@ -13,7 +13,7 @@
   }
 
   private static int run(Path root, Path recordFile, boolean trouble) throws Exception {
-    Rig.Config c = LeftWaiting.settings();
+    Rig.Config c = Rig.Config.relsovo();
     c.machines = new int[] {1, 0};
     Path folder = Files.createTempDirectory("review-2-");
     try (Rig rig = new Rig(c, root, folder, recordFile)) {
--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -14,6 +14,7 @@
 import io.tansystack.wire.JobSpec;
 import io.tansystack.wire.MachineType;
 import io.tansystack.wire.TaskId;
+import io.tansystack.wire.TaskReport;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -70,8 +71,31 @@
     String teams = "";
     List<MachineType> types = new ArrayList<>();
     int[] machines = {};
-    double runS = 40;
     double fetchS = 1;
+
+    /** Settings as those of kit/next/relsovo-plan-grown, with three controllers and small teams. */
+    static Config relsovo() {
+      Config c = new Config();
+      c.zones = List.of("plovdivyard", "sofiayard");
+      c.writeRps = 20;
+      c.valueKb = 16;
+      c.txnOps = 16;
+      c.reportS = 5;
+      c.leaseS = 36;
+      c.gangWaitS = 40;
+      c.gangPeerS = 6;
+      c.cancelS = 61;
+      c.maxConnections = 800;
+      c.cloudRps = 2;
+      c.types.add(
+          new MachineType("heavyhaul", 96, 8, 768, 300, 2, 25.33, 5.78, 25, c.zones));
+      c.types.add(new MachineType("mainline", 32, 0, 64, 100, 1, 1.73, 0.42, 40, c.zones));
+      c.teams =
+          "[[cluster.teams]]\nname = \"dispatch\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 8.0\n"
+              + "gpus_max = 16.0\n[[cluster.teams]]\nname = \"wagonops\"\ncpus = 0.0\n"
+              + "cpus_max = 0.0\ngpus = 8.0\ngpus_max = 16.0\n";
+      return c;
+    }
   }
 
   /** One thread that owns a stand-in's state. */
@@ -556,6 +580,12 @@
     /** Machines that are up, or will be after their boot time. */
     final Set<String> up = new HashSet<>();
 
+    /** Machines that fail every task. */
+    final Set<String> faulty = ConcurrentHashMap.newKeySet();
+
+    /** Machines on which tasks have failed. */
+    final Set<String> errors = new HashSet<>();
+
     /** When machines have stopped on their own. */
     final Map<String, Long> diedAt = new HashMap<>();
 
@@ -708,6 +738,9 @@
 
     @Override
     public void onStarted(EmulatedWorker worker, TaskId task) {
+      if (faulty.contains(worker.name())) {
+        fleetLoop.after(Duration.ofMillis(500), () -> fail(worker, task));
+      }
       starts++;
       startsByJob.merge(task.job(), 1, Integer::sum);
       String other = onMachine.put(task, worker.name());
@@ -725,6 +758,17 @@
       onMachine.remove(task, worker.name());
     }
 
+    private void fail(EmulatedWorker worker, TaskId task) {
+      for (String attempt : worker.liveAttempts()) {
+        String key = attempt.substring(0, attempt.lastIndexOf('#'));
+        if (key.startsWith(task + "#")) {
+          log("%s fails on %s", key, worker.name());
+          errors.add(worker.name());
+          worker.end(key, TaskReport.Cause.ERROR);
+        }
+      }
+    }
+
     void violation(String text) {
       violations.add(text);
       log("VIOLATION %s", text);
--- a/review/standins-2/StoppedForNothing.java
+++ b/review/standins-2/StoppedForNothing.java
@@ -18,7 +18,7 @@
   }
 
   private static int run(Path root, Path recordFile, boolean trouble) throws Exception {
-    Rig.Config c = LeftWaiting.settings();
+    Rig.Config c = Rig.Config.relsovo();
     c.machines = new int[] {2, 0};
     c.teams = c.teams.replace("gpus_max = 16.0", "gpus_max = 80.0");
     Path folder = Files.createTempDirectory("review-2-");
--- a/review/standins-2/Thrash.java
+++ b/review/standins-2/Thrash.java
@@ -23,7 +23,7 @@
   }
 
   private static int run(Path root, Path recordFile, boolean trouble) throws Exception {
-    Rig.Config c = LeftWaiting.settings();
+    Rig.Config c = Rig.Config.relsovo();
     c.machines = new int[] {3, 0};
     Path folder = Files.createTempDirectory("review-2-");
     try (Rig rig = new Rig(c, root, folder, recordFile)) {
