--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -8,7 +8,7 @@
   echo "run the build command of deploy/service.toml and review/build-2.sh first"
   exit 2
 fi
-timeout -k 1 119 java -Xmx512m -cp target/review-2:target/tansystack.jar review2.LostReplica "$root" "$here/record.txt"
+timeout -k 1 119 java -Xmx512m -cp target/review-2:target/tansystack.jar review2.StuckDrain "$root" "$here/record.txt"
 status=$?
 case $status in
   0 | 1) exit $status ;;
